--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -74,7 +74,7 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &codedError{exitInvalid, err} })
-	root.AddCommand(newServe(), newCheck(), newVersion(), newDev(), newLoad(), newBench())
+	root.AddCommand(newServe(), newNode(), newCheck(), newVersion(), newDev(), newLoad(), newBench())
 	root.AddCommand(operatorCommands()...)
 	return root
 }
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,27 @@
+// Package directory names the topics in which operators and workers publish, and what their records become.
+package directory
+
+import (
+	"github.com/pollenford/pollenford/internal/catalog"
+	"github.com/pollenford/pollenford/internal/instances"
+	"github.com/pollenford/pollenford/internal/topic"
+	"github.com/pollenford/pollenford/internal/workers"
+)
+
+// OperatorRecord is one record of an operator. At most one field is set; none for a record that concerns nobody.
+type OperatorRecord struct {
+	Catalog *catalog.Catalog
+	Wave    *instances.Wave
+}
+
+// Codec reads and writes the platform's records.
+type Codec interface {
+	// Operator and Workers are the topics that operators and workers write to, Status the one the system reports to.
+	Operator() topic.Name
+	Workers() topic.Name
+	Status() topic.Name
+	DecodeOperator(record topic.Record) (OperatorRecord, error)
+	// DecodeWorker returns an error for an entry that names no worker to use.
+	DecodeWorker(record topic.Record) (workers.Info, error)
+	EncodeWaveStatus(wave int64, completed bool) topic.Record
+}
--- /dev/null
+++ b/internal/leader/leader.go
@@ -0,0 +1,292 @@
+// Package leader elects the owner of a shard with a record in the store that its holder renews.
+package leader
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/pollenford/pollenford/internal/topic"
+	"github.com/pollenford/pollenford/internal/wait"
+)
+
+// Timing of the election.
+const (
+	// renewEvery prices eight readers and one append a second.
+	renewEvery = 1 * time.Second
+	// expireAfter allows two lost renewals.
+	expireAfter = 2500 * time.Millisecond
+	callTimeout = 600 * time.Millisecond
+	retryEvery  = 100 * time.Millisecond
+	// followWait bounds a read for renewals, and with it how late an expiry is noticed.
+	followWait = 500 * time.Millisecond
+)
+
+const (
+	ownerTopic topic.Name = "keyed.owner"
+	ownerKey              = "owner"
+)
+
+// Owner is the content of the owner's record.
+type Owner struct {
+	// Name is that of the entry instance, Incarnation tells its processes apart.
+	Name        string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+	Address     string `cbor:"3,keyasint"` // IP:port of the inner protocol
+	// Fence rises with every change of owner.
+	Fence    int64 `cbor:"4,keyasint"`
+	Released bool  `cbor:"5,keyasint,omitempty"`
+}
+
+// Term is one time as the owner.
+type Term struct {
+	Fence int64
+	// renewed is the boot-time clock in nanoseconds when the last successful renewal was sent.
+	renewed atomic.Int64
+}
+
+// Age returns how long ago the owner last knew that nobody had replaced it. It counts time in suspension.
+func (t *Term) Age() time.Duration { return time.Duration(bootTime() - t.renewed.Load()) }
+
+// bootTime returns the clock that goes on while the machine is suspended, in nanoseconds.
+func bootTime() int64 {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return time.Now().UnixNano() // only where the kernel lacks the clock
+	}
+	return ts.Nano()
+}
+
+// Elector takes part in the election for as long as it runs.
+type Elector struct {
+	Store topic.Store
+	Self  Owner
+	Log   hclog.Logger
+	// Serve runs the owner until its context ends or it finds that it was replaced.
+	Serve func(ctx context.Context, term *Term) error
+	// Eligible reports whether this instance may become the owner now.
+	Eligible func() bool
+
+	mu      sync.Mutex
+	current Owner // protected by mu
+	known   bool  // protected by mu
+
+	end      int64     // of the partition, as far as it was read
+	lastSeen time.Time // of a record, or of the first successful read after an outage
+	failing  bool
+	hurry    atomic.Bool
+}
+
+// Current returns the owner as last read, and whether one is known.
+func (e *Elector) Current() (Owner, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current, e.known && !e.current.Released
+}
+
+// Suspect tells that the owner with a fence seems to be gone, so that the election need not wait for its record to
+// expire.
+func (e *Elector) Suspect(fence int64) {
+	if owner, ok := e.Current(); ok && owner.Fence == fence {
+		e.hurry.Store(true)
+	}
+}
+
+func (e *Elector) set(o Owner) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.known || o.Fence != e.current.Fence || o.Released != e.current.Released {
+		e.Log.Info("owner changed", "owner", o.Name, "fence", o.Fence, "released", o.Released)
+		e.hurry.Store(false)
+	}
+	e.current, e.known = o, true
+}
+
+// Run takes part until ctx ends. An owner releases its record before Run returns.
+func (e *Elector) Run(ctx context.Context) {
+	e.end = -1
+	for ctx.Err() == nil {
+		if err := e.follow(ctx); err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			if !e.failing {
+				e.failing = true
+				e.Log.Warn("lost the store", "err", err)
+			}
+			if errors.Is(err, topic.ErrExpired) {
+				e.end = -1
+			}
+			wait.For(ctx, retryEvery)
+			continue
+		}
+		if e.vacant() && e.Eligible() {
+			e.campaign(ctx)
+		}
+	}
+}
+
+// follow makes one read of the owner's records.
+func (e *Elector) follow(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, followWait+callTimeout)
+	defer cancel()
+	var records []topic.Record
+	if e.end < 0 {
+		all, end, err := topic.ReadNewest(callCtx, e.Store, ownerTopic)
+		if err != nil {
+			return err
+		}
+		records, e.end = all, end
+	} else {
+		tail, err := e.Store.Read(callCtx, ownerTopic, e.end, e.wait())
+		if err != nil {
+			return err
+		}
+		records = tail.Records
+		e.end += int64(len(records))
+	}
+	if e.failing {
+		// While the store was away the owner could not renew either: count its silence from now.
+		e.failing = false
+		e.lastSeen = time.Now()
+		e.Log.Info("regained the store")
+	}
+	e.accept(records)
+	return nil
+}
+
+func (e *Elector) wait() time.Duration {
+	if e.hurry.Load() {
+		return 0
+	}
+	return followWait
+}
+
+func (e *Elector) accept(records []topic.Record) {
+	if e.lastSeen.IsZero() {
+		e.lastSeen = time.Now()
+	}
+	for _, r := range records {
+		var o Owner
+		if r.Key != ownerKey || r.Value == nil {
+			continue
+		}
+		if err := cbor.Unmarshal(r.Value, &o); err != nil {
+			e.Log.Error("unreadable owner record", "offset", r.Offset, "err", err)
+			continue
+		}
+		e.lastSeen = time.Now()
+		e.set(o)
+	}
+}
+
+func (e *Elector) vacant() bool {
+	owner, owned := e.Current()
+	// A record of this process that nobody serves comes from an append that was carried out after it was given up.
+	return !owned || owner.Incarnation == e.Self.Incarnation || e.hurry.Load() || time.Since(e.lastSeen) > expireAfter
+}
+
+// campaign tries to become the owner and, if it succeeds, serves until the term ends.
+func (e *Elector) campaign(ctx context.Context) {
+	sent := bootTime()
+	o := e.Self
+	o.Fence = e.end + 1
+	if err := e.write(ctx, o); err != nil {
+		e.Log.Info("did not become the owner", "err", err)
+		if !errors.Is(err, topic.ErrMoved) {
+			wait.For(ctx, retryEvery)
+		}
+		return
+	}
+	e.set(o)
+	term := &Term{Fence: o.Fence}
+	term.renewed.Store(sent)
+	termCtx, cancel := context.WithCancel(ctx)
+	renewed := make(chan struct{})
+	go func() {
+		defer close(renewed)
+		defer cancel()
+		e.renew(termCtx, o, term)
+	}()
+	e.Log.Info("became the owner", "fence", o.Fence)
+	err := e.Serve(termCtx, term)
+	cancel()
+	<-renewed
+	e.Log.Info("stopped being the owner", "fence", o.Fence, "err", err)
+	if owner, ok := e.Current(); ok && owner.Fence == o.Fence {
+		e.release(o)
+	}
+	e.lastSeen = time.Now()
+}
+
+// write appends a record under the condition that nobody else has.
+func (e *Elector) write(ctx context.Context, o Owner) error {
+	value, err := cbor.Marshal(o)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	at := e.end
+	_, end, err := e.Store.Append(callCtx, ownerTopic, topic.Batch{Records: []topic.Record{{Key: ownerKey, Value: value}}, At: &at})
+	if err == nil {
+		e.end = end
+		return nil
+	}
+	if errors.Is(err, topic.ErrNotDone) {
+		return err
+	}
+	// The append, or an earlier one without an answer, may have been carried out: what stands there now decides.
+	records, readEnd, readErr := topic.ReadNewest(callCtx, e.Store, ownerTopic)
+	if readErr != nil {
+		return errors.Annotatef(err, "and reading back failed (%v)", readErr)
+	}
+	e.end = readEnd
+	e.accept(records)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.current == o {
+		return nil
+	}
+	return err
+}
+
+// renew keeps the record fresh until ctx ends or another owner is seen.
+func (e *Elector) renew(ctx context.Context, o Owner, term *Term) {
+	pause := renewEvery
+	for wait.For(ctx, pause) {
+		sent := bootTime()
+		err := e.write(ctx, o)
+		if err == nil {
+			term.renewed.Store(sent)
+			pause = renewEvery
+			continue
+		}
+		if owner, ok := e.Current(); ok && owner.Fence != o.Fence {
+			e.Log.Warn("replaced as the owner", "by", owner.Name, "fence", owner.Fence)
+			return
+		}
+		if ctx.Err() == nil {
+			e.Log.Warn("renewal failed", "age", term.Age(), "err", err)
+		}
+		pause = retryEvery
+	}
+}
+
+// release lets another instance take over at once.
+func (e *Elector) release(o Owner) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	o.Released = true
+	if err := e.write(ctx, o); err != nil {
+		e.Log.Warn("could not release ownership; it expires", "err", err)
+		return
+	}
+	e.set(o)
+}
--- /dev/null
+++ b/internal/owner/place.go
@@ -0,0 +1,206 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pollenford/pollenford/internal/catalog"
+	"github.com/pollenford/pollenford/internal/jobs"
+	"github.com/pollenford/pollenford/internal/schedule"
+	"github.com/pollenford/pollenford/internal/workload"
+)
+
+// retryPlacement is how often placements are tried without an event, for those that wait for a time.
+const retryPlacement = 200 * time.Millisecond
+
+// plan is what the order of a job is derived from.
+type plan struct {
+	demand schedule.Demand
+	// from is the longest chain of estimated work from each step on.
+	from []time.Duration
+}
+
+// prepare derives the plan of a job.
+func (o *Owner) prepare(j *job) {
+	from, longest := schedule.Chain(j.spec.Steps)
+	j.plan.from = from
+	d := schedule.Demand{Lasting: j.spec.Lasts(), ID: j.spec.ID, Left: longest}
+	slack, target := 1.0, time.Duration(0)
+	if q := o.cfg.Catalog().Queues[j.spec.Queue]; q != nil {
+		d.Urgency, slack, target = q.Urgency, q.SlackFactor, q.TargetLatency
+	}
+	d.Objective = schedule.NewObjective(time.UnixMilli(j.spec.ReceivedMS), longest, slack, target)
+	j.plan.demand = d
+}
+
+// admit returns why a job is rejected, or nil.
+func (o *Owner) admit(spec *workload.Job) *jobs.Rejection {
+	c := o.cfg.Catalog()
+	q := c.Queues[spec.Queue]
+	if q == nil {
+		// The entry knows a configuration that has not arrived here, or this instance a newer one.
+		return &jobs.Rejection{Reason: "the queue is not known to the owner", RetryAfter: time.Second}
+	}
+	if org := c.Organisations[spec.Organisation]; org != nil {
+		for i := range spec.Steps {
+			if !org.LimitAllows(spec.Steps[i].Need) {
+				return &jobs.Rejection{Reason: "a task is larger than the organisation's limit", Permanent: true}
+			}
+		}
+	}
+	return nil
+}
+
+// ready is a step with tasks to place.
+type ready struct {
+	job        *job
+	occurrence *workload.Occurrence
+	step       int
+	demand     schedule.Demand
+}
+
+// place gives waiting tasks to workers.
+func (o *Owner) place() {
+	if o.storeSilentFor() > storePatience || !o.leading() {
+		o.lastTry = time.Now()
+		return
+	}
+	now := time.Now()
+	list := o.readySteps()
+	if len(list) == 0 {
+		return
+	}
+	slices.SortFunc(list, func(a, b ready) int {
+		if schedule.Before(&a.demand, &b.demand, now) {
+			return -1
+		}
+		return 1
+	})
+	c := o.cfg.Catalog()
+	pools := map[string]*poolView{}
+	for i := range list {
+		r := &list[i]
+		q := c.Queues[r.job.spec.Queue]
+		if q == nil || q.Advised {
+			continue
+		}
+		view := pools[q.Pool]
+		if view == nil {
+			view = o.viewPool(q.Pool, now)
+			pools[q.Pool] = view
+		}
+		o.placeStep(r, view, c.Organisations[r.job.spec.Organisation])
+	}
+}
+
+func (o *Owner) readySteps() []ready {
+	var list []ready
+	for _, j := range o.active {
+		for _, occurrence := range j.progress.Current {
+			for step := range j.spec.Steps {
+				if !occurrence.Ready(j.spec, step) || !hasWaiting(occurrence.Tasks[step]) {
+					continue
+				}
+				demand := j.plan.demand
+				demand.Left = j.plan.from[step]
+				list = append(list, ready{j, occurrence, step, demand})
+			}
+		}
+	}
+	return list
+}
+
+func hasWaiting(tasks []workload.Task) bool {
+	for i := range tasks {
+		if tasks[i].Phase == workload.Waiting {
+			return true
+		}
+	}
+	return false
+}
+
+// poolView is the room of a pool during one round of placements.
+type poolView struct {
+	workers    []*worker
+	candidates []schedule.Candidate
+	// tooLarge is the smallest amount that did not fit anywhere, to skip its like.
+	tooLarge *catalog.Resources
+}
+
+func (o *Owner) viewPool(pool string, now time.Time) *poolView {
+	view := &poolView{}
+	for _, w := range o.workers {
+		if w.info.Pool != pool || !w.usable(now) {
+			continue
+		}
+		view.workers = append(view.workers, w)
+	}
+	slices.SortFunc(view.workers, func(a, b *worker) int {
+		if a.info.ID < b.info.ID {
+			return -1
+		}
+		return 1
+	})
+	view.candidates = make([]schedule.Candidate, len(view.workers))
+	for i, w := range view.workers {
+		view.candidates[i] = schedule.Candidate{
+			Free: w.info.Capacity.Sub(w.used.resources), Rack: w.info.Rack, Doubt: w.health.doubt(now),
+		}
+	}
+	return view
+}
+
+// usable reports whether the worker may get new work.
+func (w *worker) usable(now time.Time) bool {
+	return w.present && w.synced && !w.info.Draining && !w.cordoned && now.After(w.avoidUntil)
+}
+
+// placeStep gives the waiting tasks of a step to the workers of its pool. The members of a gang go together or not at all.
+func (o *Owner) placeStep(r *ready, view *poolView, org *catalog.Organisation) {
+	step := &r.job.spec.Steps[r.step]
+	need := step.Counted()
+	if view.tooLarge != nil && view.tooLarge.Within(need) {
+		return
+	}
+	key := stepOn{r.job, r.occurrence.Number, r.step}
+	for i, w := range view.workers {
+		view.candidates[i].OnStep = w.used.steps[key]
+		view.candidates[i].HasLabel = step.Label == "" || w.info.HasLabel(step.Label)
+	}
+	usage := o.usage[r.job.spec.Organisation]
+	var chosen []int
+	var waiting []int
+	for index := range r.occurrence.Tasks[r.step] {
+		if r.occurrence.Tasks[r.step][index].Phase != workload.Waiting {
+			continue
+		}
+		usage = usage.Add(step.Need)
+		if org != nil && !org.LimitAllows(usage) {
+			break
+		}
+		best := schedule.Choose(step, view.candidates)
+		if best < 0 {
+			if step.Label == "" && step.MaxPerWorker == 0 {
+				view.tooLarge = &need
+			}
+			break
+		}
+		view.candidates[best].Free = view.candidates[best].Free.Sub(need)
+		view.candidates[best].OnStep++
+		chosen, waiting = append(chosen, best), append(waiting, index)
+	}
+	if step.Gang && len(chosen) < step.Count {
+		for _, i := range chosen {
+			view.candidates[i].Free = view.candidates[i].Free.Add(need)
+		}
+		return
+	}
+	run := 0
+	for i, index := range waiting {
+		ref := workload.Ref{Occurrence: r.occurrence.Number, Step: r.step, Index: index}
+		if run == 0 || !step.Gang {
+			run = r.job.progress.NextRun(r.job.spec, ref)
+		}
+		o.start(r.job, ref, run, view.workers[chosen[i]])
+	}
+}
--- /dev/null
+++ b/internal/owner/runs.go
@@ -0,0 +1,254 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/pollenford/pollenford/internal/catalog"
+	"github.com/pollenford/pollenford/internal/wait"
+	"github.com/pollenford/pollenford/internal/workers"
+	"github.com/pollenford/pollenford/internal/workload"
+)
+
+// usage counts what may run on a worker.
+type usage struct {
+	resources catalog.Resources
+	steps     map[stepOn]int
+}
+
+// stepOn names an occurrence of a step of a job.
+type stepOn struct {
+	job              *job
+	occurrence, step int
+}
+
+// hold counts a placement on its worker and for its organisation.
+func (o *Owner) hold(w *worker, p *placement) {
+	step := &p.job.spec.Steps[p.ref.Step]
+	w.runs[p.name] = p
+	w.used.resources = w.used.resources.Add(step.Counted())
+	if w.used.steps == nil {
+		w.used.steps = map[stepOn]int{}
+	}
+	w.used.steps[stepOn{p.job, p.ref.Occurrence, p.ref.Step}]++
+	org := p.job.spec.Organisation
+	o.usage[org] = o.usage[org].Add(step.Need)
+}
+
+// release is the reverse of hold.
+func (o *Owner) release(w *worker, p *placement) {
+	step := &p.job.spec.Steps[p.ref.Step]
+	delete(w.runs, p.name)
+	w.used.resources = w.used.resources.Sub(step.Counted())
+	key := stepOn{p.job, p.ref.Occurrence, p.ref.Step}
+	if w.used.steps[key]--; w.used.steps[key] == 0 {
+		delete(w.used.steps, key)
+	}
+	org := p.job.spec.Organisation
+	o.usage[org] = o.usage[org].Sub(step.Need)
+	o.replan = true
+}
+
+// adoptRun counts a run that an earlier owner placed.
+func (o *Owner) adoptRun(j *job, ref workload.Ref, t *workload.Task) {
+	w := o.worker(t.Worker)
+	if w.info.Incarnation < t.Incarnation {
+		w.info.Incarnation = t.Incarnation
+	}
+	o.hold(w, &placement{
+		job: j, ref: ref, name: workload.TaskName(j.spec.ID, ref), run: t.Run, adopted: true, orderedAt: o.began,
+	})
+}
+
+// start places a task on a worker and orders it once that is recorded.
+func (o *Owner) start(j *job, ref workload.Ref, run int, w *worker) {
+	if err := j.progress.Place(ref, run, w.info.ID, w.info.Incarnation); err != nil {
+		o.log.Error("placement refused", "job", j.spec.ID, "err", err)
+		return
+	}
+	p := &placement{job: j, ref: ref, name: workload.TaskName(j.spec.ID, ref), run: run, orderedAt: time.Now()}
+	o.hold(w, p)
+	o.changed(j)
+	task := j.progress.Task(ref)
+	order := workers.StartOrder{Task: p.name, Run: run, Spec: j.spec.Spec, Checkpoint: task.Checkpoint}
+	o.afterCommit(func() { o.orderStart(w, p, order) })
+}
+
+// orderStart sends a recorded start.
+func (o *Owner) orderStart(w *worker, p *placement, order workers.StartOrder) {
+	if w.runs[p.name] != p {
+		return // the worker started anew meanwhile
+	}
+	if p.stopping || !o.leading() {
+		o.lose(w, p, "it was not ordered")
+		return
+	}
+	order.UntilMS = o.lease(w)
+	to := w.session.target
+	go func() {
+		ctx, stop := context.WithTimeout(o.ctx, orderTimeout)
+		defer stop()
+		var err error
+		if o.leading() { // the process may have been suspended since
+			_, err = o.cfg.Workers.Start(ctx, to, order)
+		} else {
+			err = workers.ErrLate
+		}
+		o.post(func() { o.started(w, p, err) })
+	}()
+}
+
+// started takes the answer to a start.
+func (o *Owner) started(w *worker, p *placement, err error) {
+	if w.runs[p.name] != p {
+		return
+	}
+	switch {
+	case err == nil:
+		if p.confirmedAt.IsZero() {
+			p.confirmedAt = time.Now()
+		}
+	case errors.Is(err, workers.ErrFenced):
+		o.replaced("worker " + w.info.ID + " follows a newer owner")
+	case isRefusal(err):
+		o.log.Info("start refused", "task", p.name, "run", p.run, "worker", w.info.ID, "reason", err)
+		w.avoidUntil = time.Now().Add(refusalPause)
+		if errors.Is(err, workers.ErrUnhealthy) {
+			w.health.failed(time.Now())
+		}
+		o.lose(w, p, "the worker refused it")
+	default:
+		o.log.Warn("start without an answer", "task", p.name, "run", p.run, "worker", w.info.ID, "err", err)
+		w.avoidUntil = time.Now().Add(silencePause)
+		o.stopRun(w, p)
+	}
+}
+
+// Pauses before a worker gets new work.
+const (
+	// refusalPause lets the next report show what takes the room.
+	refusalPause = 200 * time.Millisecond
+	// silencePause is the time in which an unanswered order is usually resolved.
+	silencePause = 500 * time.Millisecond
+)
+
+// isRefusal reports whether an order was answered and not carried out.
+func isRefusal(err error) bool {
+	for _, refusal := range []error{
+		workers.ErrOldRun, workers.ErrLate, workers.ErrNoRoom, workers.ErrTicket, workers.ErrInvalid,
+		workers.ErrUnhealthy, workers.ErrOtherIncarnation,
+	} {
+		if errors.Is(err, refusal) {
+			return true
+		}
+	}
+	return false
+}
+
+// stopRun stops a run and repeats the order until the worker confirms it. Afterwards the run can no longer start there.
+func (o *Owner) stopRun(w *worker, p *placement) {
+	p.stopping = true
+	if w.runs[p.name] != p || p.stopSent || w.session == nil {
+		return
+	}
+	p.stopSent = true
+	o.sendStop(w, p, w.session.target)
+}
+
+func (o *Owner) sendStop(w *worker, p *placement, to workers.Target) {
+	go func() {
+		ctx, stop := context.WithTimeout(o.ctx, orderTimeout)
+		err := o.cfg.Workers.Stop(ctx, to, p.name, p.run)
+		stop()
+		if err != nil && !wait.For(o.ctx, stopRetry) {
+			return
+		}
+		o.post(func() {
+			if o.stopAnswered(w, p, err) {
+				o.sendStop(w, p, w.session.target)
+			}
+		})
+	}()
+}
+
+// stopAnswered takes the answer to a stop and reports whether it has to be sent again.
+func (o *Owner) stopAnswered(w *worker, p *placement, err error) bool {
+	if w.runs[p.name] != p || w.session == nil {
+		return false
+	}
+	switch {
+	case err == nil:
+		p.stoppedAt = time.Now()
+		return false
+	case errors.Is(err, workers.ErrFenced):
+		o.replaced("worker " + w.info.ID + " follows a newer owner")
+		return false
+	case errors.Is(err, workers.ErrOtherIncarnation), errors.Is(err, workers.ErrOldRun), errors.Is(err, workers.ErrInvalid):
+		p.stoppedAt = time.Now()
+		return false
+	}
+	return true
+}
+
+// stopForeign stops a run that is not placed there: one that was given up, or of a job that is forgotten.
+func (o *Owner) stopForeign(w *worker, run workers.Run) {
+	o.log.Warn("stopping a run that is not placed there", "task", run.Task, "run", run.Number, "worker", w.info.ID)
+	to := w.session.target
+	go func() {
+		ctx, stop := context.WithTimeout(o.ctx, orderTimeout)
+		defer stop()
+		if err := o.cfg.Workers.Stop(ctx, to, run.Task, run.Number); err != nil {
+			o.log.Warn("stopping failed; the next report shows the run again", "task", run.Task, "err", err)
+		}
+	}()
+}
+
+// endRun takes over the end of a run as its worker lists it.
+func (o *Owner) endRun(w *worker, p *placement, end workers.End) {
+	j := p.job
+	o.release(w, p)
+	lasts := j.spec.Steps[p.ref.Step].LongRunning
+	switch end.How {
+	case workers.Done:
+		w.health.succeeded()
+	case workers.Failed:
+		if !lasts {
+			w.health.failed(time.Now())
+		}
+	}
+	if end.How != workers.Done {
+		o.log.Info("run ended", "task", end.Task, "run", end.Run, "worker", w.info.ID, "how", end.How)
+	}
+	outcome := j.progress.End(j.spec, p.ref, p.run, end.How == workers.Done, end.How == workers.Failed, end.Checkpoint, o.maxFailures(j))
+	o.afterEnd(j, outcome)
+}
+
+// lose takes note that a run is not there any more, or never was, without an end.
+func (o *Owner) lose(w *worker, p *placement, why string) {
+	o.log.Info("run lost", "task", p.name, "run", p.run, "worker", w.info.ID, "why", why)
+	o.release(w, p)
+	o.afterEnd(p.job, p.job.progress.End(p.job.spec, p.ref, p.run, false, false, "", 0))
+}
+
+func (o *Owner) afterEnd(j *job, outcome workload.Outcome) {
+	if outcome == workload.Ignored {
+		return
+	}
+	o.changed(j)
+	if outcome == workload.Ended {
+		o.endJob(j)
+	}
+}
+
+// maxFailures returns how many runs of a task may fail.
+func (o *Owner) maxFailures(j *job) int {
+	if q := o.cfg.Catalog().Queues[j.spec.Queue]; q != nil {
+		return q.MaxAttempts
+	}
+	return defaultFailures // the queue is gone; its jobs go on
+}
+
+// defaultFailures is used for jobs of a queue that was removed: the larger of the values that deployments use.
+const defaultFailures = 4
--- /dev/null
+++ b/internal/owner/service.go
@@ -0,0 +1,162 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/pollenford/pollenford/internal/jobs"
+	"github.com/pollenford/pollenford/internal/workload"
+)
+
+// storePatience is how long an append may wait before new jobs are rejected instead of queued behind it: a client
+// waits 3 s, and a usual append takes less than 10 ms.
+const storePatience = 400 * time.Millisecond
+
+// storeRetryAfter is when a client should return while the store does not answer.
+const storeRetryAfter = 2 * time.Second
+
+// reply is the answer to a call, given once.
+type reply chan error
+
+func (r reply) give(err error) {
+	select {
+	case r <- err:
+	default: // an answer was given before
+	}
+}
+
+// ask runs a call in the loop and waits for its answer.
+func (o *Owner) ask(ctx context.Context, call func(r reply)) error {
+	r := make(reply, 1)
+	if !o.post(func() { call(r) }) {
+		return &jobs.Rejection{Reason: "the owner has stopped", RetryAfter: time.Second}
+	}
+	select {
+	case err := <-r:
+		return err
+	case <-ctx.Done():
+		return errors.Annotate(jobs.ErrOutcomeUnknown, ctx.Err().Error())
+	case <-o.ctx.Done():
+		return errors.Annotate(jobs.ErrOutcomeUnknown, "the owner has stopped")
+	}
+}
+
+// Submit implements jobs.Service.
+func (o *Owner) Submit(ctx context.Context, spec *workload.Job) error {
+	return o.ask(ctx, func(r reply) {
+		if j := o.jobs[spec.ID]; j != nil {
+			o.whenSaved(j, func() { r.give(nil) })
+			return
+		}
+		if silent := o.storeSilentFor(); silent > storePatience {
+			r.give(&jobs.Rejection{Reason: "the store does not answer", RetryAfter: storeRetryAfter, Overloaded: true})
+			return
+		}
+		if rejection := o.admit(spec); rejection != nil {
+			o.log.Info("job rejected", "job", spec.ID, "reason", rejection.Reason, "retry_after", rejection.RetryAfter)
+			r.give(rejection)
+			return
+		}
+		j := &job{spec: spec, progress: workload.NewProgress(spec), fresh: true}
+		o.jobs[spec.ID] = j
+		o.active[spec.ID] = j
+		o.prepare(j)
+		j.progress.Advance(spec, time.Now().UnixMilli())
+		o.changed(j)
+		o.replan = true
+		o.afterCommit(func() { r.give(nil) })
+		o.log.Info("job accepted", "job", spec.ID, "queue", spec.Queue, "organisation", spec.Organisation, "steps", len(spec.Steps))
+	})
+}
+
+// whenSaved runs an effect once the present state of a job is recorded.
+func (o *Owner) whenSaved(j *job, effect func()) {
+	if j.unsaved == 0 {
+		effect()
+		return
+	}
+	o.afterCommit(effect)
+}
+
+// find returns a job that an organisation may see, or nil.
+func (o *Owner) find(id, organisation string) *job {
+	j := o.jobs[id]
+	if j == nil || j.progress.Organisation != "" && j.progress.Organisation != organisation {
+		return nil
+	}
+	return j
+}
+
+// Status implements jobs.Service. It tells what is recorded, not what is being decided.
+func (o *Owner) Status(ctx context.Context, id, organisation string) (jobs.Status, error) {
+	var status jobs.Status
+	err := o.ask(ctx, func(r reply) {
+		j := o.find(id, organisation)
+		if j == nil {
+			r.give(jobs.ErrNoSuchJob)
+			return
+		}
+		tell := func() { status = j.recorded; r.give(nil) }
+		if j.fresh {
+			o.afterCommit(tell)
+			return
+		}
+		tell()
+	})
+	if err != nil {
+		return jobs.Status{}, err
+	}
+	return status, nil
+}
+
+// Cancel implements jobs.Service.
+func (o *Owner) Cancel(ctx context.Context, id, organisation string) error {
+	return o.ask(ctx, func(r reply) {
+		j := o.find(id, organisation)
+		if j == nil {
+			r.give(jobs.ErrNoSuchJob)
+			return
+		}
+		if j.progress.Cancel() {
+			o.log.Info("job cancelled", "job", id)
+			o.endJob(j)
+		}
+		o.whenSaved(j, func() { r.give(nil) })
+	})
+}
+
+// Pending implements jobs.Service.
+func (o *Owner) Pending(ctx context.Context, queue string) (int, error) {
+	n := 0
+	err := o.ask(ctx, func(r reply) {
+		for _, j := range o.active {
+			if j.spec.Queue == queue && !j.progress.Begun {
+				n++
+			}
+		}
+		r.give(nil)
+	})
+	if err != nil {
+		return 0, err
+	}
+	return n, nil
+}
+
+// endJob follows the end of a job by whatever cause: its remaining runs are stopped.
+func (o *Owner) endJob(j *job) {
+	id := j.spec.ID
+	j.progress.EndedMS = time.Now().UnixMilli()
+	delete(o.active, id)
+	o.ended = append(o.ended, endedJob{id, j.progress.EndedMS})
+	o.changed(j)
+	o.log.Info("job ended", "job", id, "state", j.progress.State)
+	for _, w := range o.workers {
+		for _, p := range w.runs {
+			if p.job == j {
+				o.afterCommit(func() { o.stopRun(w, p) })
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/schedule/order.go
@@ -0,0 +1,78 @@
+// Package schedule decides which work goes first and where it goes. It is pure: values and a time in, decisions out.
+package schedule
+
+import (
+	"time"
+
+	"github.com/pollenford/pollenford/internal/workload"
+)
+
+// Objective tells until when the completion of a job is worth what.
+type Objective struct {
+	// Full is the time until which completion earns everything, Late until which it earns a part.
+	Full, Late time.Time
+}
+
+// lateFactor is by how much a job may exceed its objective and still earn the late part, as the users state it.
+const lateFactor = 3
+
+// NewObjective derives the objective of a job from its longest chain of work.
+func NewObjective(from time.Time, chain time.Duration, slack float64, target time.Duration) Objective {
+	allowed := time.Duration(slack*float64(chain)) + target
+	return Objective{Full: from.Add(allowed), Late: from.Add(lateFactor * allowed)}
+}
+
+// Chain returns the longest chain of estimated work from each step on, the step included, and over the whole job.
+func Chain(steps []workload.Step) (from []time.Duration, longest time.Duration) {
+	from = make([]time.Duration, len(steps))
+	for i := len(steps) - 1; i >= 0; i-- {
+		from[i] += steps[i].Estimate
+		longest = max(longest, from[i])
+		for _, before := range steps[i].After {
+			from[before] = max(from[before], from[i])
+		}
+	}
+	return from, longest
+}
+
+// Demand is what a ready job asks for, as far as its order is concerned.
+type Demand struct {
+	// Lasting work serves its own users all the time and goes first.
+	Lasting bool
+	// Urgency is that of the queue; 0 comes first.
+	Urgency int
+	Objective
+	// Left is the longest chain of work that remains.
+	Left time.Duration
+	ID   string
+}
+
+// rank groups demands: what can still earn everything, then the late part, then the rest.
+func (d *Demand) rank(now time.Time) int {
+	end := now.Add(d.Left)
+	switch {
+	case d.Lasting:
+		return 0
+	case !end.After(d.Full):
+		return 1
+	case !end.After(d.Late):
+		return 2
+	}
+	return 3
+}
+
+// Before reports whether a goes before b. Within a rank the urgent queue goes first, then the job with the least time to
+// spare, so that a peak of short jobs does not push those that have waited over their objective.
+func Before(a, b *Demand, now time.Time) bool {
+	if ra, rb := a.rank(now), b.rank(now); ra != rb {
+		return ra < rb
+	}
+	if a.Urgency != b.Urgency {
+		return a.Urgency < b.Urgency
+	}
+	sa, sb := a.Full.Add(-a.Left), b.Full.Add(-b.Left)
+	if !sa.Equal(sb) {
+		return sa.Before(sb)
+	}
+	return a.ID < b.ID
+}
--- /dev/null
+++ b/internal/topic/follow.go
@@ -0,0 +1,91 @@
+package topic
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/pollenford/pollenford/internal/wait"
+)
+
+// Follower reads a keyed topic for as long as it runs.
+type Follower struct {
+	Store Store
+	Name  Name
+	// Wait is how long a read waits for a record.
+	Wait time.Duration
+	// Every, if set, is the least time between two reads, which bounds the calls for a topic that changes all the time.
+	Every time.Duration
+	// OnNewest receives the newest record of every key: at the start, and when records were missed.
+	OnNewest func(records []Record)
+	// OnRecords receives what was appended since; it may be called without records, which tells that the store answers.
+	OnRecords func(records []Record, end int64)
+	// OnError receives failed calls.
+	OnError func(err error)
+	// Resync, if set, is how often the newest records are read again.
+	Resync time.Duration
+}
+
+// Backoff of a follower after a failed call, doubled up to the maximum. The minimum lets the first repetition arrive
+// before any bound of the platform's rules is used up; the maximum is a tenth of the shortest of them (2 s).
+const (
+	followMinBackoff = 25 * time.Millisecond
+	followMaxBackoff = 200 * time.Millisecond
+	// callTimeout bounds a call beyond the time that it may wait: 100 times the store's usual answer.
+	callTimeout = 400 * time.Millisecond
+)
+
+// Run follows the topic until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	next := int64(-1)
+	backoff := followMinBackoff
+	var synced time.Time
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := f.step(ctx, &next, &synced)
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			f.OnError(err)
+			if errors.Is(err, ErrExpired) {
+				next = -1
+				continue
+			}
+			if !wait.For(ctx, backoff) {
+				return
+			}
+			backoff = min(2*backoff, followMaxBackoff)
+			continue
+		}
+		backoff = followMinBackoff
+		if rest := f.Every - time.Since(began); rest > 0 && !wait.For(ctx, rest) {
+			return
+		}
+	}
+}
+
+func (f *Follower) step(ctx context.Context, next *int64, synced *time.Time) error {
+	if *next < 0 || f.Resync > 0 && time.Since(*synced) > f.Resync {
+		records, end, err := ReadNewest(ctx, f.Store, f.Name)
+		if err != nil {
+			return err
+		}
+		*next = end
+		*synced = time.Now()
+		f.OnNewest(records)
+		return nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, f.Wait+callTimeout)
+	defer cancel()
+	tail, err := f.Store.Read(callCtx, f.Name, *next, f.Wait)
+	if err != nil {
+		return err
+	}
+	if n := len(tail.Records); n > 0 {
+		*next = tail.Records[n-1].Offset + 1
+	}
+	f.OnRecords(tail.Records, tail.End)
+	return nil
+}
