Bound the wait for workers that were lost before a take-over

Cause: a successor waited for every unreachable worker until an owner that is cut off from the store would have stopped renewing (8 s) plus a lease, 13 s in all, although the owner before had handed over, or had lost that worker long before. Change: a handed-over term waits for one lease; an owner records which workers it has lost and when their leases lapse, and drops the record before it renews again; shorter lease (4 s), expiry (2 s) and renewal bound (6 s).

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -18,10 +18,10 @@
 
 // Timing of the election.
 const (
-	// renewEvery prices eight readers and one append a second.
-	renewEvery = 1 * time.Second
-	// expireAfter allows two lost renewals.
-	expireAfter = 2500 * time.Millisecond
+	// renewEvery weighs the price of its calls (one append, and a read by each other instance) against expireAfter.
+	renewEvery = 700 * time.Millisecond
+	// expireAfter allows one lost renewal and the slowest store that the deployments know (260 ms an answer).
+	expireAfter = 2 * time.Second
 	callTimeout = 600 * time.Millisecond
 	retryEvery  = 100 * time.Millisecond
 	// followWait bounds a read for renewals, and with it how late an expiry is noticed.
@@ -47,6 +47,8 @@
 // Term is one time as the owner.
 type Term struct {
 	Fence int64
+	// HandedOver tells that the owner before has stopped by itself, so that it renews nothing any more.
+	HandedOver bool
 	// renewed is the boot-time clock in nanoseconds when the last successful renewal was sent.
 	renewed atomic.Int64
 }
@@ -195,6 +197,9 @@
 // campaign tries to become the owner and, if it succeeds, serves until the term ends.
 func (e *Elector) campaign(ctx context.Context) {
 	sent := bootTime()
+	e.mu.Lock()
+	handedOver := e.known && e.current.Released || !e.known
+	e.mu.Unlock()
 	o := e.Self
 	o.Fence = e.end + 1
 	if err := e.write(ctx, o); err != nil {
@@ -205,7 +210,7 @@
 		return
 	}
 	e.set(o)
-	term := &Term{Fence: o.Fence}
+	term := &Term{Fence: o.Fence, HandedOver: handedOver}
 	term.renewed.Store(sent)
 	termCtx, cancel := context.WithCancel(ctx)
 	renewed := make(chan struct{})
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -209,6 +209,8 @@
 			}
 		case waveKey:
 			err = o.loadWave(r)
+		case lossKey:
+			err = o.loadLoss(id, r)
 		}
 		if err != nil {
 			o.log.Error("unreadable record", "key", r.Key, "offset", r.Offset, "err", err)
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
 	"github.com/pollenford/pollenford/internal/topic"
@@ -14,9 +15,9 @@
 
 // Timing of sessions with workers.
 const (
-	// leaseTime is how long a worker goes on without being held. It covers the take-over after a silent owner (2.5 s),
+	// leaseTime is how long a worker goes on without being held. It covers the take-over after a silent owner (2 s),
 	// the age of the last hold and the reading of the jobs; a longer one delays the restart of what a lost worker ran.
-	leaseTime = 5 * time.Second
+	leaseTime = 4 * time.Second
 	// holdWait is how long a worker may wait for an end before it answers a hold.
 	holdWait = 1 * time.Second
 	// holdTimeout is how long an answer may take beyond holdWait before the connection counts as lost.
@@ -27,7 +28,7 @@
 	stopRetry    = 150 * time.Millisecond
 	// renewBound is how long an owner renews leases without having renewed its own record, so that running work
 	// outlives an outage of the store.
-	renewBound = 8 * time.Second
+	renewBound = 6 * time.Second
 	// clockError is the share by which a worker's clock may be slow.
 	clockError = 0.02
 	// commitPatience is how long a session waits for ends to be recorded before it renews the lease without
@@ -71,11 +72,12 @@
 	clockMS                int64 // the worker's clock at clockAt
 	clockAt                time.Time
 	// leaseUntil is when everything there has ended unless it was held again.
-	leaseUntil time.Time
-	session    *session
-	health     health
-	cordoned   bool // no new work: an upkeep or a move is being prepared
-	avoidUntil time.Time
+	leaseUntil   time.Time
+	session      *session
+	health       health
+	lossRecorded bool
+	cordoned     bool // no new work: an upkeep or a move is being prepared
+	avoidUntil   time.Time
 }
 
 // session holds one incarnation of a worker.
@@ -143,8 +145,11 @@
 	w := o.workers[id]
 	if w == nil {
 		w = &worker{info: workers.Info{ID: id}, runs: map[string]*placement{}}
-		// An earlier owner may have renewed the lease for as long as it was allowed to without the store.
-		w.leaseUntil = o.began.Add(renewBound + lapsed(leaseTime))
+		w.leaseUntil = o.began.Add(lapsed(leaseTime))
+		if !o.term.HandedOver {
+			// The owner before may go on renewing for as long as it is allowed to without the store.
+			w.leaseUntil = w.leaseUntil.Add(renewBound)
+		}
 		o.workers[id] = w
 	}
 	return w
@@ -269,6 +274,7 @@
 	w.clockMS, w.clockAt = report.ClockMS, received
 	first := !w.synced
 	if first {
+		o.regained(w)
 		o.log.Info("worker held", "worker", w.info.ID, "running", len(report.Running), "ended", len(report.Ended))
 		w.synced = true
 		o.replan = true
@@ -286,7 +292,12 @@
 			}
 		})
 	case first:
-		o.resume(w, 0) // the first hold renewed nothing
+		// The first hold renewed nothing. The loss may only be followed by a lease once its record is dropped.
+		o.afterCommit(func() {
+			if w.session == s {
+				o.resume(w, 0)
+			}
+		})
 	default:
 		o.resume(w, holdWait)
 	}
@@ -299,14 +310,58 @@
 	}
 	if w.synced {
 		o.log.Warn("worker lost", "worker", w.info.ID, "runs", len(w.runs), "err", err)
+		w.synced = false
+		o.recordLoss(w)
 	}
-	w.synced = false
+}
+
+// loss is recorded when a worker stops answering, so that a successor need not wait longer than this owner would.
+type loss struct {
+	Incarnation int64 `cbor:"1,keyasint"`
+	// LapsesMS is how long after the record everything on the worker has ended, in milliseconds.
+	LapsesMS int64 `cbor:"2,keyasint"`
+}
+
+// lossKey is the prefix of the keys of losses.
+const lossKey = "l/"
+
+func (o *Owner) recordLoss(w *worker) {
+	if len(w.runs) == 0 {
+		return
+	}
+	w.lossRecorded = true
+	o.record(topic.Record{Key: lossKey + w.info.ID, Value: o.encode(loss{
+		Incarnation: w.info.Incarnation, LapsesMS: max(0, time.Until(w.leaseUntil).Milliseconds()),
+	})})
+}
+
+// regained drops the record of a loss.
+func (o *Owner) regained(w *worker) {
+	if w.lossRecorded {
+		w.lossRecorded = false
+		o.record(topic.Record{Key: lossKey + w.info.ID})
+	}
+}
+
+// loadLoss bounds the wait for a worker that an earlier owner lost: that owner has renewed nothing there since.
+func (o *Owner) loadLoss(id string, r topic.Record) error {
+	var l loss
+	if err := cbor.Unmarshal(r.Value, &l); err != nil {
+		return errors.Trace(err)
+	}
+	w := o.worker(id)
+	w.lossRecorded = true
+	w.info.Incarnation = max(w.info.Incarnation, l.Incarnation)
+	if until := o.began.Add(time.Duration(l.LapsesMS) * time.Millisecond); until.Before(w.leaseUntil) {
+		w.leaseUntil = until
+	}
+	return nil
 }
 
 // resume lets a session make its next call.
 func (o *Owner) resume(w *worker, holdFor time.Duration) {
 	order := workers.HoldOrder{Acknowledged: w.endsRecorded, Wait: holdFor}
-	if o.leading() {
+	if w.synced && o.leading() {
 		order.UntilMS = o.lease(w)
 	}
 	w.session.waitingSince = time.Time{}
@@ -403,6 +458,7 @@
 		if w.session != nil {
 			w.session.cancel()
 		}
+		o.regained(w)
 		delete(o.workers, w.info.ID)
 		o.log.Info("worker forgotten", "worker", w.info.ID)
 	}
