Connect to the owner beside the requests instead of within them

Cause: each request dialed the owner under a lock. Change: one connector follows the election and keeps a connection; requests use it or are rejected after 150 ms. A call that may have changed something goes on until its outcome is known.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -27,14 +26,16 @@
 )
 
 const (
-	// ownerRetry is the pause before another attempt to reach an owner, a fraction of a usual take-over.
+	// ownerRetry is the pause before the owner is looked for again, a fraction of a usual hand-over.
 	ownerRetry = 20 * time.Millisecond
-	// ownerWait is how long a call waits for an owner to be reached before it is rejected: a take-over after a released
-	// or killed owner fits, an expiry does not.
-	ownerWait = 700 * time.Millisecond
-	// retryAfter is when a client should return while there is no owner: the time in which a record expires is 2.5 s, and
-	// the platform's clients wait 3 s in all.
+	// ownerWait is how long a call waits for an owner before it is rejected: a quarter of the shortest latency objective
+	// in the users' deployments (600 ms), and longer than a hand-over takes.
+	ownerWait = 150 * time.Millisecond
+	// retryAfter is when a client should return while there is no owner: half of the time in which a silent owner is
+	// replaced.
 	retryAfter = time.Second
+	// dialRetry is the pause before another attempt to reach the owner.
+	dialRetry = 50 * time.Millisecond
 )
 
 // Entry routes requests of clients.
@@ -43,14 +44,9 @@
 	// Local returns the service when this process is the owner, or nil.
 	Local func() jobs.Service
 	Log   hclog.Logger
-	// Lifetime bounds the connections to owners.
-	Lifetime context.Context
 
-	catalog atomic.Pointer[catalog.Catalog]
-
-	mu        sync.Mutex
-	client    *link.Client // protected by mu
-	clientFor int64        // fence of the owner that client is connected to; protected by mu
+	catalog   atomic.Pointer[catalog.Catalog]
+	connected atomic.Pointer[link.Client] // to the present owner, nil without a connection
 }
 
 // SetCatalog puts a configuration in force unless a newer one is.
@@ -104,12 +100,12 @@
 	if err := job.Check(); err != nil {
 		return &jobs.Rejection{Reason: err.Error(), Permanent: true}
 	}
-	return e.withOwner(ctx, func(s jobs.Service) error { return s.Submit(ctx, job) })
+	return e.withOwner(ctx, changing, func(s jobs.Service) error { return s.Submit(ctx, job) })
 }
 
 // Status returns the state of a job.
 func (e *Entry) Status(ctx context.Context, id, organisation string) (status jobs.Status, err error) {
-	err = e.withOwner(ctx, func(s jobs.Service) (err error) {
+	err = e.withOwner(ctx, reading, func(s jobs.Service) (err error) {
 		status, err = s.Status(ctx, id, organisation)
 		return err
 	})
@@ -118,87 +114,113 @@
 
 // Cancel cancels a job.
 func (e *Entry) Cancel(ctx context.Context, id, organisation string) error {
-	return e.withOwner(ctx, func(s jobs.Service) error { return s.Cancel(ctx, id, organisation) })
+	return e.withOwner(ctx, changing, func(s jobs.Service) error { return s.Cancel(ctx, id, organisation) })
 }
 
 // Pending returns the number of jobs of a queue that have not begun.
 func (e *Entry) Pending(ctx context.Context, queue string) (n int, err error) {
-	err = e.withOwner(ctx, func(s jobs.Service) (err error) {
+	err = e.withOwner(ctx, reading, func(s jobs.Service) (err error) {
 		n, err = s.Pending(ctx, queue)
 		return err
 	})
 	return n, err
 }
 
-// withOwner calls the owner. All calls are idempotent, so one whose connection broke is made again while time is left.
-func (e *Entry) withOwner(ctx context.Context, call func(jobs.Service) error) error {
+// effect tells whether a call changes anything at the owner.
+type effect bool
+
+const (
+	reading  effect = false
+	changing effect = true
+)
+
+// withOwner calls the owner. All calls are idempotent, so one whose connection broke is made again. Without an owner a
+// call is rejected soon; one that may have changed something goes on until its outcome is known or its time is over,
+// because only then a rejection would be true.
+func (e *Entry) withOwner(ctx context.Context, kind effect, call func(jobs.Service) error) error {
 	giveUp := time.Now().Add(ownerWait)
 	uncertain := false
+	var last error = errors.New("there is no owner")
 	for {
-		service, err := e.owner()
-		if err == nil {
-			err = call(service)
+		if service := e.owner(); service != nil {
+			err := call(service)
 			var rejection *jobs.Rejection
 			switch {
 			case errors.Is(err, jobs.ErrOutcomeUnknown):
-				uncertain = true
+				uncertain = uncertain || kind == changing
 			case errors.As(err, &rejection) && !rejection.Permanent && !rejection.Overloaded:
-				// This instance is not the owner, or no longer.
+				// That instance is not the owner, or no longer.
+			case errors.As(err, &rejection) && uncertain:
+				// An earlier attempt may have been stored, so this one's rejection tells nothing.
 			default:
 				return err
 			}
+			last = err
 		}
-		if time.Now().After(giveUp) || !wait.For(ctx, ownerRetry) {
+		late := time.Now().After(giveUp) && !uncertain
+		if late || !wait.For(ctx, ownerRetry) {
 			if uncertain {
-				return errors.Annotate(jobs.ErrOutcomeUnknown, "the owner was lost")
+				return errors.Annotate(jobs.ErrOutcomeUnknown, last.Error())
 			}
-			return &jobs.Rejection{Reason: "no owner can be reached: " + err.Error(), RetryAfter: retryAfter}
+			return &jobs.Rejection{Reason: "no owner can be reached: " + last.Error(), RetryAfter: retryAfter}
 		}
 	}
 }
 
-func (e *Entry) owner() (jobs.Service, error) {
+// owner returns the owner as far as it can be reached, or nil.
+func (e *Entry) owner() jobs.Service {
 	if local := e.Local(); local != nil {
-		return local, nil
+		return local
 	}
-	owner, ok := e.Elector.Current()
-	if !ok || owner.Incarnation == e.Elector.Self.Incarnation {
-		return nil, errors.New("there is no owner")
+	if client := e.connected.Load(); client != nil {
+		return client
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.client != nil && e.clientFor == owner.Fence {
-		return e.client, nil
-	}
-	if e.client != nil {
-		e.client.Close()
-		e.client = nil
-	}
-	client, err := link.Dial(e.Lifetime, owner.Address, func() { e.lost(owner.Fence) })
-	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			// Nobody listens there: the owner's process has ended.
-			e.Elector.Suspect(owner.Fence)
+	return nil
+}
+
+// Connect keeps a connection to the present owner until ctx ends.
+func (e *Entry) Connect(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := e.Elector.Changed()
+		owner, ok := e.Elector.Current()
+		if !ok || owner.Incarnation == e.Elector.Self.Incarnation {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if err := e.connectTo(ctx, owner, changed); err != nil {
+			e.Log.Debug("the owner cannot be reached", "owner", owner.Name, "fence", owner.Fence, "err", err)
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				// Nobody listens there: the owner's process has ended.
+				e.Elector.Suspect(owner.Fence)
+			}
+			wait.For(ctx, dialRetry)
 		}
-		return nil, err
 	}
-	e.Log.Debug("connected to the owner", "owner", owner.Name, "fence", owner.Fence)
-	e.client, e.clientFor = client, owner.Fence
-	return client, nil
 }
 
-// lost forgets a broken connection and looks at once whether the owner still listens.
-func (e *Entry) lost(fence int64) {
-	e.mu.Lock()
-	current := e.client != nil && e.clientFor == fence
-	if current {
-		e.client = nil
-	}
-	e.mu.Unlock()
-	if current && e.Lifetime.Err() == nil {
-		e.Log.Warn("lost the connection to the owner")
-		if _, err := e.owner(); err != nil {
-			e.Log.Debug("the owner cannot be reached", "err", err)
+// connectTo connects to an owner and returns when the connection or the term is over.
+func (e *Entry) connectTo(ctx context.Context, owner leader.Owner, changed <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-ctx.Done():
 		}
+	}()
+	lost := make(chan struct{})
+	client, err := link.Dial(ctx, owner.Address, func() { close(lost) })
+	if err != nil {
+		return err
 	}
+	e.Log.Debug("connected to the owner", "owner", owner.Name, "fence", owner.Fence)
+	e.connected.Store(client)
+	<-lost // also when ctx ends
+	e.connected.Store(nil)
+	e.Log.Info("connection to the owner ended", "owner", owner.Name, "fence", owner.Fence)
+	return nil
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -76,8 +76,9 @@
 	Eligible func() bool
 
 	mu      sync.Mutex
-	current Owner // protected by mu
-	known   bool  // protected by mu
+	current Owner         // protected by mu
+	known   bool          // protected by mu
+	changed chan struct{} // closed when current changes; protected by mu
 
 	end      int64     // of the partition, as far as it was read
 	lastSeen time.Time // of a record, or of the first successful read after an outage
@@ -92,6 +93,16 @@
 	return e.current, e.known && !e.current.Released
 }
 
+// Changed returns a channel that is closed when the owner changes.
+func (e *Elector) Changed() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.changed == nil {
+		e.changed = make(chan struct{})
+	}
+	return e.changed
+}
+
 // Suspect tells that the owner with a fence seems to be gone, so that the election need not wait for its record to
 // expire.
 func (e *Elector) Suspect(fence int64) {
@@ -106,6 +117,10 @@
 	if !e.known || o.Fence != e.current.Fence || o.Released != e.current.Released {
 		e.Log.Info("owner changed", "owner", o.Name, "fence", o.Fence, "released", o.Released)
 		e.hurry.Store(false)
+		if e.changed != nil {
+			close(e.changed)
+			e.changed = nil
+		}
 	}
 	e.current, e.known = o, true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,7 +89,7 @@
 		Self:     leader.Owner{Name: cfg.Name, Incarnation: uuid.NewString(), Address: cfg.PeerAddress},
 		Eligible: func() bool { return !n.stopping.Load() && n.entry.Catalog() != nil },
 	}
-	n.entry = &entry.Entry{Elector: n.elector, Local: n.local, Log: cfg.Log.Named("entry"), Lifetime: life}
+	n.entry = &entry.Entry{Elector: n.elector, Local: n.local, Log: cfg.Log.Named("entry")}
 
 	listeners, err := n.listen()
 	if err != nil {
@@ -105,6 +105,7 @@
 		}()
 	}
 	go n.followCatalog(life)
+	go n.entry.Connect(life)
 	go n.watchReload(life)
 	electorCtx, leave := context.WithCancel(life)
 	var election sync.WaitGroup
