Test the owner and the election; doubt a worker that leaves orders unanswered

TestLateOrderDoesNotRunTwice found that a task whose order was not answered went back to the same worker again and again: such a worker now comes last, as a failing one does.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -53,6 +53,16 @@
 	renewed atomic.Int64
 }
 
+// NewTerm returns a term that was won now.
+func NewTerm(fence int64, handedOver bool) *Term {
+	t := &Term{Fence: fence, HandedOver: handedOver}
+	t.Renewed()
+	return t
+}
+
+// Renewed takes note that nobody has replaced the owner until now.
+func (t *Term) Renewed() { t.renewed.Store(bootTime()) }
+
 // Age returns how long ago the owner last knew that nobody had replaced it. It counts time in suspension.
 func (t *Term) Age() time.Duration { return time.Duration(bootTime() - t.renewed.Load()) }
 
@@ -225,7 +235,7 @@
 		return
 	}
 	e.set(o)
-	term := &Term{Fence: o.Fence, HandedOver: handedOver}
+	term := NewTerm(o.Fence, handedOver)
 	term.renewed.Store(sent)
 	termCtx, cancel := context.WithCancel(ctx)
 	renewed := make(chan struct{})
--- /dev/null
+++ b/internal/leader/leader_test.go
@@ -0,0 +1,158 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/pollenford/pollenford/internal/topic/topictest"
+)
+
+const patience = 20 * time.Second
+
+// candidate is an instance that takes part in an election.
+type candidate struct {
+	elector *Elector
+	stop    context.CancelFunc
+	serving atomic.Int64 // the fence of the term, 0 without one
+	handed  atomic.Bool
+}
+
+func join(t *testing.T, store *topictest.Store, name string) *candidate {
+	ctx, stop := context.WithCancel(context.Background())
+	c := &candidate{stop: stop}
+	c.elector = &Elector{
+		Store: store, Log: hclog.NewNullLogger(), Eligible: func() bool { return true },
+		Self: Owner{Name: name, Incarnation: name + "-1", Address: name},
+		Serve: func(ctx context.Context, term *Term) error {
+			c.handed.Store(term.HandedOver)
+			c.serving.Store(term.Fence)
+			<-ctx.Done()
+			c.serving.Store(0)
+			return ctx.Err()
+		},
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); c.elector.Run(ctx) }()
+	t.Cleanup(func() { stop(); <-done })
+	return c
+}
+
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func owners(all ...*candidate) int {
+	n := 0
+	for _, c := range all {
+		if c.serving.Load() > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against two owners at a time, and against one that changes without cause.
+func TestOneOwnerThatStays(t *testing.T) {
+	store := &topictest.Store{}
+	var all []*candidate
+	for i := range 5 {
+		all = append(all, join(t, store, fmt.Sprint("n", i)))
+	}
+	await(t, "an owner serves", func() bool { return owners(all...) == 1 })
+	owner, _ := all[0].elector.Current()
+	for deadline := time.Now().Add(2 * expireAfter); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if n := owners(all...); n != 1 {
+			t.Fatalf("%d owners", n)
+		}
+	}
+	if now, _ := all[0].elector.Current(); now.Fence != owner.Fence {
+		t.Errorf("the owner changed from fence %d to %d", owner.Fence, now.Fence)
+	}
+}
+
+// Guards the hand-over: a stopping owner is replaced without waiting for its record to expire, with a higher fence.
+func TestStoppingOwnerHandsOver(t *testing.T) {
+	store := &topictest.Store{}
+	a := join(t, store, "a")
+	await(t, "a serves", func() bool { return a.serving.Load() > 0 })
+	fence := a.serving.Load()
+	b := join(t, store, "b")
+	await(t, "b knows the owner", func() bool { _, ok := b.elector.Current(); return ok })
+	a.stop()
+	await(t, "b serves", func() bool { return b.serving.Load() > fence })
+	if !b.handed.Load() {
+		t.Error("the term does not know that it was handed over")
+	}
+}
+
+// Guards the expiry: an owner that goes silent is replaced, and the term knows that nobody handed it over.
+func TestSilentOwnerIsReplaced(t *testing.T) {
+	store := &topictest.Store{}
+	dead := Owner{Name: "dead", Incarnation: "x", Address: "x", Fence: 1}
+	e := &Elector{Store: store, Log: hclog.NewNullLogger()}
+	if err := e.write(t.Context(), dead); err != nil {
+		t.Fatal(err)
+	}
+	b := join(t, store, "b")
+	await(t, "b serves", func() bool { return b.serving.Load() > 0 })
+	if b.handed.Load() {
+		t.Error("the term takes an expired record for a hand-over")
+	}
+}
+
+// Guards against an election in an outage: while no owner can renew, its silence does not count.
+func TestOutageOfTheStoreKeepsTheOwner(t *testing.T) {
+	store := &topictest.Store{}
+	a, b := join(t, store, "a"), join(t, store, "b")
+	await(t, "an owner serves", func() bool { return owners(a, b) == 1 })
+	fence := a.serving.Load() + b.serving.Load()
+	store.Set(topictest.Faults{Down: true})
+	time.Sleep(expireAfter + renewEvery)
+	store.Set(topictest.Faults{})
+	time.Sleep(expireAfter)
+	if now := a.serving.Load() + b.serving.Load(); now != fence {
+		t.Errorf("fence %d after the outage, want %d", now, fence)
+	}
+}
+
+// Guards against an owner that steps down, or two that serve, when the answers of appends are lost.
+func TestLostAnswersKeepTheOwner(t *testing.T) {
+	store := &topictest.Store{}
+	store.Set(topictest.Faults{LoseAnswers: 3}) // of the campaign and of renewals
+	a := join(t, store, "a")
+	await(t, "a serves", func() bool { return a.serving.Load() > 0 })
+	fence := a.serving.Load()
+	time.Sleep(2 * renewEvery)
+	if a.serving.Load() != fence {
+		t.Errorf("fence %d, want %d", a.serving.Load(), fence)
+	}
+}
+
+// Guards against a wait for the expiry when the owner's process is known to be gone.
+func TestSuspectedOwnerIsReplacedAtOnce(t *testing.T) {
+	store := &topictest.Store{}
+	e := &Elector{Store: store, Log: hclog.NewNullLogger()}
+	if err := e.write(t.Context(), Owner{Name: "dead", Incarnation: "x", Address: "x", Fence: 1}); err != nil {
+		t.Fatal(err)
+	}
+	b := join(t, store, "b")
+	await(t, "b knows the owner", func() bool { _, ok := b.elector.Current(); return ok })
+	b.elector.Suspect(7) // another term: no reason to hurry
+	if b.elector.hurry.Load() {
+		t.Error("a suspicion about another term counts")
+	}
+	b.elector.Suspect(1)
+	await(t, "b serves", func() bool { return b.serving.Load() > 0 })
+}
--- a/internal/owner/health.go
+++ b/internal/owner/health.go
@@ -19,6 +19,9 @@
 
 func (h *health) failed(now time.Time) { h.failures++; h.last = now }
 
+// silent takes note of an order without an answer: the next one goes elsewhere at once.
+func (h *health) silent(now time.Time) { h.failures = max(h.failures+1, doubtAfter); h.last = now }
+
 func (h *health) succeeded() { h.failures = 0 }
 
 // doubt returns how likely the worker is sick; 0 for a sound one.
--- /dev/null
+++ b/internal/owner/owner_test.go
@@ -0,0 +1,308 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/pollenford/pollenford/internal/catalog"
+	"github.com/pollenford/pollenford/internal/jobs"
+	"github.com/pollenford/pollenford/internal/topic/topictest"
+	"github.com/pollenford/pollenford/internal/workers"
+	"github.com/pollenford/pollenford/internal/workload"
+)
+
+// Guards the path: steps run in order, the job completes and the worker's ends are acknowledged.
+func TestJobRunsItsStepsInOrder(t *testing.T) {
+	w := newWorld(t)
+	worker := w.worker("w1", 30*time.Millisecond)
+	o := w.owner(true)
+	w.submit(o, newJob("a", 2, 3))
+	w.awaitState(o, "a", workload.Completed)
+	starts := w.fleet.Starts()
+	if len(starts) != 5 {
+		t.Fatalf("%d starts, want 5: %v", len(starts), starts)
+	}
+	for _, s := range starts[:2] {
+		if s.Task != "a.0.0.0" && s.Task != "a.0.0.1" {
+			t.Errorf("%s started before its predecessors ended", s.Task)
+		}
+	}
+	w.await("ends are acknowledged", func() bool { return worker.Unacknowledged() == 0 })
+}
+
+// Guards against a second job for a repeated request with the same ID.
+func TestRepeatedSubmitIsOneJob(t *testing.T) {
+	w := newWorld(t)
+	w.worker("w1", 20*time.Millisecond)
+	o := w.owner(true)
+	for range 3 {
+		w.submit(o, newJob("a", 1))
+	}
+	w.awaitState(o, "a", workload.Completed)
+	w.submit(o, newJob("a", 1)) // arrives after the end
+	if n := len(w.startsOf("a.0.0.0")); n != 1 {
+		t.Errorf("%d runs, want 1", n)
+	}
+}
+
+// Guards against effects of decisions that a successor could not know: without the store nothing starts, nothing is
+// acknowledged, and new jobs are rejected as not stored.
+func TestNothingTakesEffectBeforeItIsRecorded(t *testing.T) {
+	w := newWorld(t)
+	worker := w.worker("w1", 0)
+	o := w.owner(true)
+	w.submit(o, newJob("a", 1, 1))
+	w.await("the first step runs", func() bool { return len(worker.Running()) == 1 })
+
+	w.store.Set(topictest.Faults{Down: true})
+	worker.End("a.0.0.0", workers.Done)
+	tries := 0
+	w.await("the owner notices the store", func() bool {
+		ctx, stop := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer stop()
+		tries++
+		err := o.Submit(ctx, newJob(fmt.Sprint("b", tries), 1))
+		var rejection *jobs.Rejection
+		return errors.As(err, &rejection)
+	})
+	if n := len(w.fleet.Starts()); n != 1 {
+		t.Errorf("%d starts, want 1: the second step began without a record", n)
+	}
+	if worker.Unacknowledged() != 1 {
+		t.Error("an end was acknowledged that is not recorded")
+	}
+	w.store.Set(topictest.Faults{})
+	w.await("the second step runs", func() bool { return len(w.startsOf("a.0.1.0")) == 1 })
+}
+
+// Guards against a second run, or a lost end, when the answers of appends are lost.
+func TestLostAnswersOfTheStore(t *testing.T) {
+	w := newWorld(t)
+	w.worker("w1", 20*time.Millisecond)
+	o := w.owner(true)
+	w.store.Set(topictest.Faults{LoseAnswers: 3})
+	w.submit(o, newJob("a", 2, 2))
+	w.awaitState(o, "a", workload.Completed)
+	if n := len(w.fleet.Starts()); n != 4 {
+		t.Errorf("%d runs, want 4", n)
+	}
+}
+
+// Guards against a second run of adopted tasks and against lost ends after a change of owner.
+func TestSuccessorAdoptsWhatRuns(t *testing.T) {
+	w := newWorld(t)
+	worker := w.worker("w1", 0)
+	first := w.owner(true)
+	w.submit(first, newJob("a", 3))
+	w.await("the tasks run", func() bool { return len(worker.Running()) == 3 })
+	first.stop()
+	worker.End("a.0.0.0", workers.Done) // between the owners
+
+	second := w.owner(true)
+	w.await("the successor holds the worker", func() bool { return worker.Fence() == second.term.Fence })
+	worker.End("a.0.0.1", workers.Done)
+	worker.End("a.0.0.2", workers.Done)
+	w.awaitState(second, "a", workload.Completed)
+	if n := len(w.fleet.Starts()); n != 3 {
+		t.Errorf("%d runs, want 3", n)
+	}
+}
+
+// Guards against an owner that goes on after it was replaced: its records are refused, so it orders nothing.
+func TestReplacedOwnerStops(t *testing.T) {
+	w := newWorld(t)
+	w.worker("w1", 0)
+	first := w.owner(true)
+	w.owner(true)
+	err := first.Submit(t.Context(), newJob("a", 1))
+	if err == nil {
+		t.Error("a replaced owner accepted a job")
+	}
+	select {
+	case <-first.done:
+	case <-time.After(patience):
+		t.Error("a replaced owner did not stop")
+	}
+	if n := len(w.fleet.Starts()); n != 0 {
+		t.Errorf("%d starts, want 0", n)
+	}
+}
+
+// Guards against two runs at a time: the tasks of a worker that cannot be reached wait until its lease has lapsed.
+func TestSilentWorkerKeepsItsTasksUntilItsLeaseLapses(t *testing.T) {
+	w := newWorld(t)
+	silent := w.worker("w1", 0)
+	o := w.owner(true)
+	w.submit(o, newJob("a", 1))
+	w.await("the task runs", func() bool { return len(silent.Running()) == 1 })
+	w.worker("w2", 0)
+	silent.Silence(true)
+	w.await("the task runs elsewhere", func() bool { return len(w.startsOf("a.0.0.0")) == 2 })
+	if len(silent.Running()) != 0 {
+		t.Error("the task started elsewhere while it ran on the silent worker")
+	}
+}
+
+// Guards the restart of lasting tasks after a take-over: a successor must not wait longer for a worker than the owner
+// that lost it would have (the tasks of a dead rack stayed away for 18 s).
+func TestSuccessorKnowsWhichWorkersWereLost(t *testing.T) {
+	w := newWorld(t)
+	dead := w.worker("w1", 0)
+	first := w.owner(true)
+	w.submit(first, lasting("a", 1, 1))
+	w.await("the task runs", func() bool { return len(dead.Running()) == 1 })
+	w.worker("w2", 0)
+	dead.Silence(true)
+	w.await("the loss is recorded", func() bool {
+		records, _, _, err := w.store.Newest(t.Context(), jobsTopic, "l/")
+		return err == nil && len(records) > 0 && records[0].Key == "l/w1"
+	})
+	first.stop()
+
+	began := time.Now()
+	w.owner(false) // not handed over: without the record the wait is renewBound longer
+	w.await("the task runs elsewhere", func() bool { return len(w.startsOf("a.0.0.0")) == 2 })
+	if waited := time.Since(began); waited > lapsed(leaseTime)+time.Second {
+		t.Errorf("the successor waited %v, want at most a lease (%v)", waited, lapsed(leaseTime))
+	}
+}
+
+// Guards against a run that starts late, after the task was given to another worker.
+func TestLateOrderDoesNotRunTwice(t *testing.T) {
+	w := newWorld(t)
+	late := w.worker("w1", 0)
+	o := w.owner(true)
+	w.await("the worker is held", func() bool { return late.Fence() == 1 })
+	late.Late(2 * time.Second)
+	w.submit(o, newJob("a", 1))
+	w.await("the order is on its way", func() bool { return w.status(o, "a").Begun })
+	w.worker("w2", 0)
+	w.await("the task runs elsewhere", func() bool { return len(w.startsOf("a.0.0.0")) >= 1 })
+	time.Sleep(2500 * time.Millisecond) // the late order arrives
+	if starts := w.startsOf("a.0.0.0"); len(starts) != 1 || starts[0].Worker != "w2" {
+		t.Errorf("starts %v, want one on w2", starts)
+	}
+}
+
+// Guards against tasks that stay lost when a worker starts anew under its ID.
+func TestRebornWorkerLosesItsRuns(t *testing.T) {
+	w := newWorld(t)
+	w.worker("w1", 0)
+	o := w.owner(true)
+	w.submit(o, newJob("a", 1))
+	w.await("the task runs", func() bool { return len(w.startsOf("a.0.0.0")) == 1 })
+	w.fleet.Add("address-of-w1", "w1", 2, 20*time.Millisecond)
+	w.awaitState(o, "a", workload.Completed)
+	if starts := w.startsOf("a.0.0.0"); len(starts) != 2 || starts[1].Run != 2 {
+		t.Errorf("starts %v, want a second run", starts)
+	}
+}
+
+// Guards the organisation's limit, which counts everything that may run.
+func TestOrganisationStaysWithinItsLimit(t *testing.T) {
+	w := newWorld(t)
+	w.limit(catalog.Resources{CPU: 2000})
+	worker := w.worker("w1", 60*time.Millisecond)
+	o := w.owner(true)
+	w.submit(o, newJob("a", 6))
+	most := 0
+	w.await("the job completes", func() bool {
+		most = max(most, len(worker.Running()))
+		return w.status(o, "a").State == workload.Completed
+	})
+	if most != 2 {
+		t.Errorf("%d tasks at a time, want 2", most)
+	}
+}
+
+// Guards cancellation: what runs is stopped, nothing else starts, and the worker's room is free again.
+func TestCancelStopsWhatRuns(t *testing.T) {
+	w := newWorld(t)
+	worker := w.worker("w1", 0)
+	o := w.owner(true)
+	w.submit(o, newJob("a", 2, 2))
+	w.await("the first step runs", func() bool { return len(worker.Running()) == 2 })
+	if err := o.Cancel(t.Context(), "a", "org"); err != nil {
+		t.Fatal(err)
+	}
+	w.await("the runs are stopped", func() bool { return len(worker.Running()) == 0 })
+	w.submit(o, newJob("b", 4)) // needs the whole worker
+	w.await("the room is free", func() bool { return len(worker.Running()) == 4 })
+	if status := w.status(o, "a"); status.State != workload.Cancelled {
+		t.Errorf("state %v, want cancelled", status.State)
+	}
+}
+
+// Guards against jobs that another organisation can see or cancel.
+func TestJobsBelongToTheirOrganisation(t *testing.T) {
+	w := newWorld(t)
+	w.worker("w1", 0)
+	o := w.owner(true)
+	w.submit(o, newJob("a", 1))
+	if _, err := o.Status(t.Context(), "a", "other"); !errors.Is(err, jobs.ErrNoSuchJob) {
+		t.Errorf("status: %v, want no such job", err)
+	}
+	if err := o.Cancel(t.Context(), "a", "other"); !errors.Is(err, jobs.ErrNoSuchJob) {
+		t.Errorf("cancel: %v, want no such job", err)
+	}
+}
+
+// Guards against poison: a task that fails every time fails its job after the queue's attempts.
+func TestJobFailsAfterItsAttempts(t *testing.T) {
+	w := newWorld(t)
+	worker := w.worker("w1", 0)
+	o := w.owner(true)
+	w.submit(o, newJob("a", 1))
+	for range 2 {
+		w.await("the task runs", func() bool { return len(worker.Running()) == 1 })
+		worker.End("a.0.0.0", workers.Failed)
+	}
+	w.awaitState(o, "a", workload.Failed)
+	if n := len(w.startsOf("a.0.0.0")); n != 2 {
+		t.Errorf("%d runs, want 2", n)
+	}
+}
+
+// Guards against work for a worker that leaves.
+func TestDrainingWorkerGetsNoNewWork(t *testing.T) {
+	w := newWorld(t)
+	w.worker("w1", 20*time.Millisecond)
+	w.worker("w2", 20*time.Millisecond)
+	o := w.owner(true)
+	info := w.infos["w1"]
+	info.Draining = true
+	w.publish(info)
+	w.await("the owner knows", func() bool {
+		known := make(chan bool, 1)
+		o.post(func() { x := o.workers["w1"]; known <- x != nil && x.info.Draining })
+		return <-known
+	})
+	before := len(w.fleet.Starts())
+	w.submit(o, newJob("a", 8))
+	w.awaitState(o, "a", workload.Completed)
+	for _, s := range w.fleet.Starts()[before:] {
+		if s.Worker == "w1" {
+			t.Errorf("%s started on a draining worker", s.Task)
+		}
+	}
+}
+
+// Guards against a job that is lost with everything that knew it but the store.
+func TestJobsSurviveWithoutAnyProcess(t *testing.T) {
+	w := newWorld(t)
+	first := w.owner(true) // no worker yet
+	for _, id := range []string{"a", "b", "c"} {
+		w.submit(first, newJob(id, 1))
+	}
+	first.stop()
+	w.store.Compact("workers")
+	w.worker("w1", 10*time.Millisecond)
+	second := w.owner(false)
+	for _, id := range []string{"a", "b", "c"} {
+		w.awaitState(second, id, workload.Completed)
+	}
+}
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -122,6 +122,7 @@
 	default:
 		o.log.Warn("start without an answer", "task", p.name, "run", p.run, "worker", w.info.ID, "err", err)
 		w.avoidUntil = time.Now().Add(silencePause)
+		w.health.silent(time.Now())
 		o.stopRun(w, p)
 	}
 }
