--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -53,6 +53,9 @@
 	quietUntil time.Time
 	// cordonedAt is when it was closed for new work.
 	cordonedAt time.Time
+	// movingTo is the pool that it was ordered to, until it has arrived there.
+	movingTo string
+	refused  []string // pools that do not take it
 }
 
 // waveProgress is what is recorded of a wave.
@@ -193,11 +196,13 @@
 		return
 	}
 	o.fleet.nextPlan = now.Add(planEvery)
+	o.evicted = map[string]int{}
 	for _, w := range o.fleet.waves {
 		if w.known && !w.progress.Completed {
 			o.advanceWave(w, now)
 		}
 	}
+	o.balance(now)
 }
 
 // advanceWave prepares and starts upkeep, at most AtOnce at a time.
@@ -217,14 +222,14 @@
 		}
 		open++
 		switch {
-		case inst.ordered || !inst.cordonedAt.IsZero():
+		case !inst.cordonedAt.IsZero():
 			busy++
 			o.prepareUpkeep(w, inst, now)
-		case inst.info.State == instances.Up && now.After(inst.quietUntil):
+		case inst.info.State == instances.Up && now.After(inst.quietUntil) && inst.movingTo == "":
 			candidates = append(candidates, inst)
 		}
 	}
-	if open == 0 && busy == 0 {
+	if open == 0 {
 		w.progress.Completed = true
 		o.log.Info("wave completed", "wave", w.Number, "ms", now.Sub(w.seen).Milliseconds())
 		o.recordWave(w)
@@ -294,10 +299,15 @@
 	for _, p := range worker.placements() {
 		if p.step().LongRunning {
 			lasting = true
-			if !p.stopping && o.mayStop(p) {
-				o.log.Info("moving a lasting task", "task", p.name, "worker", worker.info.ID)
-				o.stopRun(worker, p)
+			if p.stopping || !o.mayStop(p) {
+				continue
 			}
+			if o.hosts(p.job, p.ref.Occurrence, p.ref.Step) == 0 {
+				o.evicted[worker.info.Pool]++
+				continue
+			}
+			o.log.Info("moving a lasting task", "task", p.name, "worker", worker.info.ID)
+			o.stopRun(worker, p)
 		}
 	}
 	return !lasting && now.Sub(inst.cordonedAt) > emptyPatience
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -99,6 +99,10 @@
 	replan  bool // something changed that may allow a placement
 	lastTry time.Time
 	fleet   fleetState
+	// waiting is what tasks that found no room ask of each pool, in thousandths of a core.
+	waiting map[string]int64
+	// evicted counts, for each pool, lasting tasks of a step that are to leave their worker and have nowhere to go.
+	evicted map[string]int
 	seen    map[string]int64 // unreadable records that were logged, with their offset
 }
 
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -66,6 +66,7 @@
 		return
 	}
 	now := time.Now()
+	o.waiting = map[string]int64{}
 	list := o.readySteps()
 	if len(list) == 0 {
 		return
@@ -89,7 +90,7 @@
 			view = o.viewPool(q.Pool, now)
 			pools[q.Pool] = view
 		}
-		o.placeStep(r, view, c.Organisations[r.job.spec.Organisation])
+		o.waiting[q.Pool] += o.placeStep(r, view, c.Organisations[r.job.spec.Organisation])
 	}
 }
 
@@ -155,12 +156,13 @@
 	return w.present && w.synced && !w.info.Draining && !w.cordoned && now.After(w.avoidUntil)
 }
 
-// placeStep gives the waiting tasks of a step to the workers of its pool. The members of a gang go together or not at all.
-func (o *Owner) placeStep(r *ready, view *poolView, org *catalog.Organisation) {
+// placeStep gives the waiting tasks of a step to the workers of its pool and returns the processors that those without
+// room ask for. The members of a gang go together or not at all.
+func (o *Owner) placeStep(r *ready, view *poolView, org *catalog.Organisation) int64 {
 	step := &r.job.spec.Steps[r.step]
 	need := step.Counted()
 	if view.tooLarge != nil && view.tooLarge.Within(need) {
-		return
+		return need.CPU * o.allowed(r, org)
 	}
 	key := stepOn{r.job, r.occurrence.Number, r.step}
 	for i, w := range view.workers {
@@ -193,7 +195,7 @@
 		for _, i := range chosen {
 			view.candidates[i].Free = view.candidates[i].Free.Add(need)
 		}
-		return
+		return need.CPU * o.allowed(r, org)
 	}
 	run := 0
 	for i, index := range waiting {
@@ -203,4 +205,22 @@
 		}
 		o.start(r.job, ref, run, view.workers[chosen[i]])
 	}
+	return need.CPU * o.allowed(r, org)
+}
+
+// allowed returns how many waiting tasks of a step its organisation may have running beside what runs now.
+func (o *Owner) allowed(r *ready, org *catalog.Organisation) int64 {
+	n := int64(0)
+	usage := o.usage[r.job.spec.Organisation]
+	for i := range r.occurrence.Tasks[r.step] {
+		if r.occurrence.Tasks[r.step][i].Phase != workload.Waiting {
+			continue
+		}
+		usage = usage.Add(r.job.spec.Steps[r.step].Need)
+		if org != nil && !org.LimitAllows(usage) {
+			break
+		}
+		n++
+	}
+	return n
 }
--- /dev/null
+++ b/internal/owner/pools.go
@@ -0,0 +1,183 @@
+package owner
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/pollenford/pollenford/internal/instances"
+	"github.com/pollenford/pollenford/internal/pool"
+	"github.com/pollenford/pollenford/internal/schedule"
+	"github.com/pollenford/pollenford/internal/workload"
+)
+
+// moveOverdue is how long beyond the usual time a moved instance counts as coming before it is given up for the plan.
+const moveOverdue = 2 * time.Second
+
+// balance moves empty instances to where work waits, and those that nobody needs to standby.
+func (o *Owner) balance(now time.Time) {
+	states := map[string]*pool.State{}
+	for _, p := range o.cfg.Catalog().Pools {
+		states[p.Name] = &pool.State{Name: p.Name, Standby: p.Standby, Waiting: o.waiting[p.Name], Hosts: o.hostsNeeded(p.Name)}
+	}
+	for _, w := range o.workers {
+		if s := states[w.info.Pool]; s != nil {
+			s.Used += w.used.resources.CPU
+			if w.usable(now) {
+				s.Free += w.info.Capacity.CPU - w.used.resources.CPU
+			}
+		}
+	}
+	for _, inst := range o.fleet.instances {
+		if to := states[inst.movingTo]; to != nil {
+			if o.arrived(inst, now) {
+				inst.movingTo = ""
+			} else {
+				to.Coming += inst.info.Capacity.CPU
+				to.Arriving++
+			}
+			continue
+		}
+		if s := states[inst.info.Pool]; s != nil && o.movable(inst, s.Standby, now) {
+			s.Empty = append(s.Empty, pool.Instance{ID: inst.info.ID, CPU: inst.info.Capacity.CPU, Idle: o.idle(inst, now), Refused: inst.refused})
+		}
+	}
+	list := make([]pool.State, 0, len(states))
+	for _, s := range states {
+		slices.SortFunc(s.Empty, func(a, b pool.Instance) int {
+			if a.ID < b.ID {
+				return -1
+			}
+			return 1
+		})
+		list = append(list, *s)
+	}
+	slices.SortFunc(list, func(a, b pool.State) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	for _, m := range pool.Plan(list, pool.DefaultPolicy()) {
+		o.move(o.fleet.instances[m.Instance], m)
+	}
+}
+
+// arrived reports whether a moved instance can be counted in its pool again, or is overdue.
+func (o *Owner) arrived(inst *instance, now time.Time) bool {
+	if inst.ordered {
+		return false
+	}
+	w := o.workers[inst.info.Worker]
+	here := inst.info.Pool == inst.movingTo && inst.info.State == instances.Up && (w != nil && w.synced || o.cfg.Catalog().Pools[inst.movingTo].Standby)
+	return here || now.After(inst.quietUntil.Add(moveOverdue))
+}
+
+// movable reports whether an instance is up, empty and not needed for anything else. The instances of a standby pool
+// have no workers.
+func (o *Owner) movable(inst *instance, standby bool, now time.Time) bool {
+	if !inst.listed || inst.ordered || inst.info.State != instances.Up || now.Before(inst.quietUntil) || !inst.cordonedAt.IsZero() {
+		return false
+	}
+	w := o.workers[inst.info.Worker]
+	if standby {
+		return w == nil || len(w.runs) == 0
+	}
+	return w != nil && w.usable(now) && len(w.runs) == 0 && w.info.Pool == inst.info.Pool && w.info.Instance == inst.info.ID
+}
+
+// idle returns how long an instance has been empty.
+func (o *Owner) idle(inst *instance, now time.Time) time.Duration {
+	if w := o.workers[inst.info.Worker]; w != nil {
+		return now.Sub(w.emptySince)
+	}
+	return 0
+}
+
+// move orders a move. The instance gets no new work from here on, also while the outcome of the order is unknown.
+func (o *Owner) move(inst *instance, m pool.Move) {
+	o.log.Info("moving an instance", "instance", m.Instance, "from", m.From, "to", m.To)
+	inst.ordered = true
+	inst.movingTo = m.To
+	w := o.workers[inst.info.Worker]
+	if w != nil {
+		w.cordoned = true
+	}
+	o.orderInstance(func(ctx context.Context) error {
+		return o.cfg.Control.Move(ctx, o.holder(), m.Instance, m.To)
+	}, func(err error) {
+		inst.ordered = false
+		inst.quietUntil = time.Now().Add(o.cfg.Timing.Move + listEvery)
+		switch {
+		case err == nil:
+			return
+		case errors.Is(err, instances.ErrFenced):
+			o.replaced("the instance service follows a newer owner")
+			return
+		case errors.Is(err, instances.ErrInvalid):
+			inst.refused = append(inst.refused, m.To)
+		}
+		o.log.Info("move refused", "instance", m.Instance, "to", m.To, "reason", err)
+		inst.movingTo = ""
+		if w != nil {
+			w.cordoned = false
+		}
+	})
+}
+
+// hostsNeeded returns how many more instances the lasting tasks of a pool need: those that wait for a worker, and those
+// that are to leave theirs and have nowhere to go.
+func (o *Owner) hostsNeeded(name string) int {
+	most := o.evicted[name]
+	for _, j := range o.active {
+		q := o.cfg.Catalog().Queues[j.spec.Queue]
+		if q == nil || q.Pool != name || !j.spec.Lasts() {
+			continue
+		}
+		for _, occurrence := range j.progress.Current {
+			for step := range j.spec.Steps {
+				if j.spec.Steps[step].LongRunning && occurrence.Ready(j.spec, step) {
+					most = max(most, o.withoutHost(j, occurrence, step))
+				}
+			}
+		}
+	}
+	return most
+}
+
+// withoutHost counts the waiting tasks of a step that no worker can take now.
+func (o *Owner) withoutHost(j *job, occurrence *workload.Occurrence, step int) int {
+	waiting := 0
+	for i := range occurrence.Tasks[step] {
+		if occurrence.Tasks[step][i].Phase == workload.Waiting {
+			waiting++
+		}
+	}
+	if waiting == 0 {
+		return 0
+	}
+	return max(0, waiting-o.hosts(j, occurrence.Number, step))
+}
+
+// hosts counts the workers that can take a task of a lasting step now.
+func (o *Owner) hosts(j *job, occurrence, step int) int {
+	spec := &j.spec.Steps[step]
+	q := o.cfg.Catalog().Queues[j.spec.Queue]
+	if q == nil {
+		return 0
+	}
+	now := time.Now()
+	key := stepOn{j, occurrence, step}
+	n := 0
+	for _, w := range o.workers {
+		candidate := schedule.Candidate{
+			Free: w.info.Capacity.Sub(w.used.resources), OnStep: w.used.steps[key], HasLabel: w.info.HasLabel(spec.Label),
+		}
+		if w.info.Pool == q.Pool && w.usable(now) && schedule.Choose(spec, []schedule.Candidate{candidate}) == 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -41,6 +41,7 @@
 func (o *Owner) release(w *worker, p *placement) {
 	step := &p.job.spec.Steps[p.ref.Step]
 	delete(w.runs, p.name)
+	w.emptySince = time.Now()
 	w.used.resources = w.used.resources.Sub(step.Counted())
 	key := stepOn{p.job, p.ref.Occurrence, p.ref.Step}
 	if w.used.steps[key]--; w.used.steps[key] == 0 {
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -78,6 +78,7 @@
 	lossRecorded bool
 	cordoned     bool // no new work: an upkeep or a move is being prepared
 	avoidUntil   time.Time
+	emptySince   time.Time // when its last run ended, or it appeared
 }
 
 // session holds one incarnation of a worker.
@@ -144,7 +145,7 @@
 func (o *Owner) worker(id string) *worker {
 	w := o.workers[id]
 	if w == nil {
-		w = &worker{info: workers.Info{ID: id}, runs: map[string]*placement{}}
+		w = &worker{info: workers.Info{ID: id}, runs: map[string]*placement{}, emptySince: time.Now()}
 		w.leaseUntil = o.began.Add(lapsed(leaseTime))
 		if !o.term.HandedOver {
 			// The owner before may go on renewing for as long as it is allowed to without the store.
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,63 @@
+package pool
+
+import (
+	"reflect"
+	"testing"
+	"time"
+)
+
+func empty(id string, idle time.Duration) Instance { return Instance{ID: id, CPU: 16_000, Idle: idle} }
+
+// Guards the size of pools over a turn of demand: instances come while tasks wait, and leave when they have been empty
+// for a while, each at most once and none that the pool needs.
+func TestPlan(t *testing.T) {
+	const idle = 5 * time.Second
+	standby := func(instances ...Instance) State { return State{Name: "standby", Standby: true, Empty: instances} }
+	for name, c := range map[string]struct {
+		pools []State
+		want  []Move
+	}{
+		"peak: fetches from standby": {
+			[]State{{Name: "a", Used: 40_000, Waiting: 50_000}, standby(empty("s1", 0), empty("s2", 0), empty("s3", 0))},
+			[]Move{{"s1", "standby", "a"}, {"s2", "standby", "a"}},
+		},
+		"peak: the pool frees enough by itself": {
+			[]State{{Name: "a", Used: 40_000, Waiting: 20_000}, standby(empty("s1", 0))}, nil,
+		},
+		"peak: enough is on its way": {
+			[]State{{Name: "a", Used: 40_000, Waiting: 50_000, Coming: 32_000}, standby(empty("s1", 0))}, nil,
+		},
+		"two peaks: the larger shortage first": {
+			[]State{{Name: "a", Waiting: 10_000}, {Name: "b", Waiting: 30_000}, standby(empty("s1", 0))},
+			[]Move{{"s1", "standby", "b"}},
+		},
+		"peak without standby: takes what another spares": {
+			[]State{{Name: "a", Waiting: 10_000}, {Name: "b", Free: 40_000, Empty: []Instance{empty("b1", 0), empty("b2", idle)}}},
+			[]Move{{"b2", "b", "a"}},
+		},
+		"quiet: empty instances leave but for the reserve": {
+			[]State{{Name: "a", Free: 50_000, Empty: []Instance{empty("a1", idle), empty("a2", idle), empty("a3", idle)}}, standby()},
+			[]Move{{"a1", "a", "standby"}, {"a2", "a", "standby"}},
+		},
+		"quiet: not before they have been empty for a while": {
+			[]State{{Name: "a", Free: 50_000, Empty: []Instance{empty("a1", time.Millisecond)}}, standby()}, nil,
+		},
+		"quiet: nothing leaves while tasks wait": {
+			[]State{{Name: "a", Free: 50_000, Used: 90_000, Waiting: 1, Empty: []Instance{empty("a1", idle)}}, standby()}, nil,
+		},
+		"lasting tasks without a host: whatever the pool frees by itself": {
+			[]State{{Name: "a", Used: 90_000, Free: 30_000, Hosts: 1}, standby(empty("s1", 0), empty("s2", 0))},
+			[]Move{{"s1", "standby", "a"}},
+		},
+		"lasting tasks without a host: one is on its way": {
+			[]State{{Name: "a", Hosts: 1, Arriving: 1, Coming: 16_000}, standby(empty("s1", 0))}, nil,
+		},
+		"an instance of another kind stays": {
+			[]State{{Name: "a", Waiting: 10_000}, standby(Instance{ID: "s1", CPU: 16_000, Refused: []string{"a"}})}, nil,
+		},
+	} {
+		if got := Plan(c.pools, DefaultPolicy()); !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
