Replace an owner whose process has ended without waiting for its record to expire

Change: a connection names the process that it is meant for; another process there, or an earlier one of the own instance, is proof that the owner has ended. The successor then also waits for one lease only.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -192,8 +192,11 @@
 		}
 		if err := e.connectTo(ctx, owner, changed); err != nil {
 			e.Log.Debug("the owner cannot be reached", "owner", owner.Name, "fence", owner.Fence, "err", err)
-			if errors.Is(err, syscall.ECONNREFUSED) {
-				// Nobody listens there: the owner's process has ended.
+			switch {
+			case errors.Is(err, link.ErrOtherProcess):
+				e.Elector.Gone(owner.Fence)
+			case errors.Is(err, syscall.ECONNREFUSED):
+				// Nobody listens there, unless a cut refuses connections: the election may begin, which is safe either way.
 				e.Elector.Suspect(owner.Fence)
 			}
 			wait.For(ctx, dialRetry)
@@ -213,7 +216,7 @@
 		}
 	}()
 	lost := make(chan struct{})
-	client, err := link.Dial(ctx, owner.Address, func() { close(lost) })
+	client, err := link.Dial(ctx, owner.Address, owner.Incarnation, func() { close(lost) })
 	if err != nil {
 		return err
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -47,15 +47,16 @@
 // Term is one time as the owner.
 type Term struct {
 	Fence int64
-	// HandedOver tells that the owner before has stopped by itself, so that it renews nothing any more.
-	HandedOver bool
+	// PredecessorGone tells that the owner before has released its record or that its process has ended, so that it
+	// renews nothing any more.
+	PredecessorGone bool
 	// renewed is the boot-time clock in nanoseconds when the last successful renewal was sent.
 	renewed atomic.Int64
 }
 
 // NewTerm returns a term that was won now.
-func NewTerm(fence int64, handedOver bool) *Term {
-	t := &Term{Fence: fence, HandedOver: handedOver}
+func NewTerm(fence int64, predecessorGone bool) *Term {
+	t := &Term{Fence: fence, PredecessorGone: predecessorGone}
 	t.Renewed()
 	return t
 }
@@ -94,6 +95,7 @@
 	lastSeen time.Time // of a record, or of the first successful read after an outage
 	failing  bool
 	hurry    atomic.Bool
+	gone     atomic.Int64 // fence of an owner whose process is known to have ended
 }
 
 // Current returns the owner as last read, and whether one is known.
@@ -121,6 +123,12 @@
 	}
 }
 
+// Gone tells that the process of the owner with a fence has ended for certain.
+func (e *Elector) Gone(fence int64) {
+	e.gone.Store(fence)
+	e.Suspect(fence)
+}
+
 func (e *Elector) set(o Owner) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -215,15 +223,16 @@
 
 func (e *Elector) vacant() bool {
 	owner, owned := e.Current()
-	// A record of this process that nobody serves comes from an append that was carried out after it was given up.
-	return !owned || owner.Incarnation == e.Self.Incarnation || e.hurry.Load() || time.Since(e.lastSeen) > expireAfter
+	// A record of this instance that nobody serves is that of an earlier process, or comes from an append that was
+	// carried out after it was given up.
+	return !owned || owner.Name == e.Self.Name || e.hurry.Load() || time.Since(e.lastSeen) > expireAfter
 }
 
 // campaign tries to become the owner and, if it succeeds, serves until the term ends.
 func (e *Elector) campaign(ctx context.Context) {
 	sent := bootTime()
 	e.mu.Lock()
-	handedOver := e.known && e.current.Released || !e.known
+	gone := !e.known || e.current.Released || e.current.Fence == e.gone.Load() || e.current.Name == e.Self.Name
 	e.mu.Unlock()
 	o := e.Self
 	o.Fence = e.end + 1
@@ -235,7 +244,7 @@
 		return
 	}
 	e.set(o)
-	term := NewTerm(o.Fence, handedOver)
+	term := NewTerm(o.Fence, gone)
 	term.renewed.Store(sent)
 	termCtx, cancel := context.WithCancel(ctx)
 	renewed := make(chan struct{})
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -19,7 +19,7 @@
 	elector *Elector
 	stop    context.CancelFunc
 	serving atomic.Int64 // the fence of the term, 0 without one
-	handed  atomic.Bool
+	gone    atomic.Bool
 }
 
 func join(t *testing.T, store *topictest.Store, name string) *candidate {
@@ -29,7 +29,7 @@
 		Store: store, Log: hclog.NewNullLogger(), Eligible: func() bool { return true },
 		Self: Owner{Name: name, Incarnation: name + "-1", Address: name},
 		Serve: func(ctx context.Context, term *Term) error {
-			c.handed.Store(term.HandedOver)
+			c.gone.Store(term.PredecessorGone)
 			c.serving.Store(term.Fence)
 			<-ctx.Done()
 			c.serving.Store(0)
@@ -92,7 +92,7 @@
 	await(t, "b knows the owner", func() bool { _, ok := b.elector.Current(); return ok })
 	a.stop()
 	await(t, "b serves", func() bool { return b.serving.Load() > fence })
-	if !b.handed.Load() {
+	if !b.gone.Load() {
 		t.Error("the term does not know that it was handed over")
 	}
 }
@@ -107,7 +107,7 @@
 	}
 	b := join(t, store, "b")
 	await(t, "b serves", func() bool { return b.serving.Load() > 0 })
-	if b.handed.Load() {
+	if b.gone.Load() {
 		t.Error("the term takes an expired record for a hand-over")
 	}
 }
@@ -156,3 +156,30 @@
 	b.elector.Suspect(1)
 	await(t, "b serves", func() bool { return b.serving.Load() > 0 })
 }
+
+// Guards the restart of all instances at once: the owner's instance, and whoever hears that another process answers at
+// its address, need not wait for the record to expire. (After a kill of all the service was away for 2 s longer.)
+func TestRestartedOwnerIsReplacedAtOnce(t *testing.T) {
+	store := &topictest.Store{}
+	e := &Elector{Store: store, Log: hclog.NewNullLogger()}
+	if err := e.write(t.Context(), Owner{Name: "a", Incarnation: "a-0", Address: "x", Fence: 1}); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	a := join(t, store, "a")
+	await(t, "a serves", func() bool { return a.serving.Load() > 0 })
+	if took := time.Since(began); took > expireAfter/2 {
+		t.Errorf("the restarted instance waited %v", took)
+	}
+	if !a.gone.Load() {
+		t.Error("the term does not know that its predecessor is gone")
+	}
+	a.elector.Gone(a.serving.Load() + 1)
+	b := join(t, store, "b")
+	await(t, "b knows the owner", func() bool { _, ok := b.elector.Current(); return ok })
+	b.elector.Gone(a.serving.Load())
+	await(t, "b serves", func() bool { return b.serving.Load() > 0 })
+	if !b.gone.Load() {
+		t.Error("the term does not know that its predecessor is gone")
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,8 +67,16 @@
 	Pending int             `cbor:"5,keyasint,omitempty"`
 }
 
+// ErrOtherProcess means that another process than the owner's answers at its address: the owner's has ended.
+const ErrOtherProcess = errors.ConstError("another process answers at the owner's address")
+
+// incarnationParameter names the process that a connection is meant for.
+const incarnationParameter = "incarnation"
+
 // Server answers the calls of other entries.
 type Server struct {
+	// Incarnation tells this process apart from earlier ones at its address.
+	Incarnation string
 	// Owner returns the service when this process is the owner, or nil.
 	Owner func() jobs.Service
 	Log   hclog.Logger
@@ -78,6 +87,10 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get(incarnationParameter) != s.Incarnation {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		s.Log.Warn("inner connection refused", "from", r.RemoteAddr, "err", err)
@@ -164,11 +177,15 @@
 	lost    bool                   // protected by mu; no call may be added
 }
 
-// Dial connects to the owner at an address (IP:port). onLost is called once when the connection ends.
-func Dial(ctx context.Context, address string, onLost func()) (*Client, error) {
+// Dial connects to the process of the owner at an address (IP:port). onLost is called once when the connection ends.
+func Dial(ctx context.Context, address, incarnation string, onLost func()) (*Client, error) {
 	dialCtx, stopDial := context.WithTimeout(ctx, dialTimeout)
 	defer stopDial()
-	conn, _, err := websocket.Dial(dialCtx, "ws://"+address+Path, &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled})
+	target := "ws://" + address + Path + "?" + url.Values{incarnationParameter: {incarnation}}.Encode()
+	conn, res, err := websocket.Dial(dialCtx, target, &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled})
+	if res != nil && res.StatusCode == http.StatusMisdirectedRequest {
+		return nil, ErrOtherProcess
+	}
 	if err != nil {
 		return nil, errors.Annotate(err, "connecting to the owner")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -173,7 +173,7 @@
 		}
 	})
 	peers := http.NewServeMux()
-	peers.Handle(link.Path, &link.Server{Owner: n.local, Log: n.cfg.Log.Named("link")})
+	peers.Handle(link.Path, &link.Server{Incarnation: n.elector.Self.Incarnation, Owner: n.local, Log: n.cfg.Log.Named("link")})
 	logger := n.cfg.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{InferLevels: true})
 	return []*http.Server{
 		{
--- /dev/null
+++ b/internal/owner/fleet_test.go
@@ -0,0 +1,221 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pollenford/pollenford/internal/catalog"
+	"github.com/pollenford/pollenford/internal/instances"
+	"github.com/pollenford/pollenford/internal/workers"
+	"github.com/pollenford/pollenford/internal/workload"
+)
+
+// returnTime is how long an instance of the double is away for an upkeep or a move.
+const returnTime = 100 * time.Millisecond
+
+// control is an instance service whose instances each carry one worker.
+type control struct {
+	w  *world
+	mu sync.Mutex
+	// The fields below are protected by mu.
+	list   []instances.Instance
+	orders []string
+	lives  int
+	down   int
+	most   int // instances that were down at once
+}
+
+func (w *world) withControl() *control {
+	c := &control{w: w}
+	w.control = c
+	return c
+}
+
+// add puts a worker on an instance of a pool.
+func (c *control) add(id string, standby bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	inst := instances.Instance{ID: id, Pool: testPool, State: instances.Up, Capacity: catalog.Resources{CPU: 4000, MemoryMB: 4000}}
+	if standby {
+		inst.Pool = "standby"
+	} else {
+		inst.Worker = c.life(id)
+	}
+	c.list = append(c.list, inst)
+}
+
+// life starts the next worker of an instance.
+func (c *control) life(instance string) string {
+	c.lives++
+	id := fmt.Sprintf("%s-life-%d", instance, c.lives)
+	address := "address-of-" + id
+	c.w.fleet.Add(address, id, int64(c.lives), 0)
+	c.w.publish(workers.Info{
+		ID: id, Incarnation: int64(c.lives), Address: address, Pool: testPool, Instance: instance,
+		Capacity: catalog.Resources{CPU: 4000, MemoryMB: 4000},
+	})
+	return id
+}
+
+// List implements instances.Control.
+func (c *control) List(context.Context, string) ([]instances.Instance, string, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.list), "", nil
+}
+
+// Upkeep implements instances.Control.
+func (c *control) Upkeep(_ context.Context, _ instances.Holder, instance string, _ int64) error {
+	return c.order("upkeep "+instance, instance, testPool, instances.Upkeep)
+}
+
+// Move implements instances.Control.
+func (c *control) Move(_ context.Context, _ instances.Holder, instance, pool string) error {
+	return c.order("move "+instance+" "+pool, instance, pool, instances.Moving)
+}
+
+func (c *control) order(order, instance, pool string, state instances.State) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.IndexFunc(c.list, func(x instances.Instance) bool { return x.ID == instance })
+	if i < 0 {
+		return instances.ErrInvalid
+	}
+	if c.list[i].State != instances.Up {
+		return instances.ErrBusy
+	}
+	c.orders = append(c.orders, order)
+	c.down++
+	c.most = max(c.most, c.down)
+	if id := c.list[i].Worker; id != "" {
+		c.w.fleet.Remove("address-of-" + id)
+		c.w.store.Put("workers", id, nil)
+	}
+	c.list[i].State, c.list[i].Worker, c.list[i].Pool = state, "", pool
+	time.AfterFunc(returnTime, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.down--
+		c.list[i].State = instances.Up
+		if pool == testPool {
+			c.list[i].Worker = c.life(instance)
+		}
+	})
+	return nil
+}
+
+func (c *control) ordered() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.orders)
+}
+
+func (w *world) startWave(atOnce int, ids ...string) {
+	wave := instances.Wave{Number: 1, Instances: ids, DeadlineS: 20, AtOnce: atOnce}
+	w.store.Put("operator", "wave", encodeJSON(w.t, wave))
+}
+
+// waveCompleted reports whether the wave was said to be completed.
+func (w *world) waveCompleted() bool {
+	records, _, _, err := w.store.Newest(w.t.Context(), "status", "")
+	return err == nil && len(records) == 1 && string(records[0].Value) == "true"
+}
+
+// Guards availability budgets and the bound of a wave: with one task of a step that may be away, the upkeep of all its
+// instances takes them one after the other, and the wave is completed only after the last has begun.
+func TestWaveKeepsAvailability(t *testing.T) {
+	w := newWorld(t)
+	c := w.withControl()
+	for _, id := range []string{"i1", "i2", "i3", "i4"} {
+		c.add(id, false)
+	}
+	o := w.owner(true)
+	w.submit(o, lasting("a", 3, 1))
+	w.await("the tasks run", func() bool { return w.atWork("a", 3) == 3 })
+	w.startWave(4, "i1", "i2", "i3", "i4")
+	least := 3
+	w.await("the wave is completed", func() bool {
+		least = min(least, w.atWork("a", 3))
+		done := w.waveCompleted()
+		if done && len(c.ordered()) < 4 {
+			t.Fatalf("the wave was said to be completed after %v", c.ordered())
+		}
+		return done
+	})
+	if least < 2 {
+		t.Errorf("only %d of 3 tasks were at work, want 2 at least", least)
+	}
+	w.await("all tasks run again", func() bool { return w.atWork("a", 3) == 3 })
+}
+
+// atWork returns how many of the first tasks of a job run on a worker now.
+func (w *world) atWork(id string, count int) int {
+	running := w.fleet.Running()
+	n := 0
+	for i := range count {
+		if running[workload.TaskName(id, workload.Ref{Index: i})] {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards the bound of a wave on instances that are down at once.
+func TestWaveStaysWithinItsBound(t *testing.T) {
+	w := newWorld(t)
+	c := w.withControl()
+	ids := []string{"i1", "i2", "i3", "i4", "i5"}
+	for _, id := range ids {
+		c.add(id, false)
+	}
+	w.owner(true)
+	w.startWave(2, ids...)
+	w.await("the wave is completed", w.waveCompleted)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.most > 2 {
+		t.Errorf("%d instances were down at once, want 2 at most", c.most)
+	}
+}
+
+// Guards lasting tasks in a small pool: one is stopped for an upkeep only when another worker can take it.
+func TestUpkeepWaitsForAHost(t *testing.T) {
+	w := newWorld(t)
+	c := w.withControl()
+	c.add("i1", false)
+	c.add("i2", false)
+	o := w.owner(true)
+	w.submit(o, lasting("a", 2, 1)) // one on each, by anti-affinity
+	w.await("the tasks run", func() bool { return w.atWork("a", 2) == 2 })
+	w.startWave(1, "i1")
+	for deadline := time.Now().Add(time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if n := w.atWork("a", 2); n != 2 {
+			t.Fatalf("%d tasks at work while there is no other host", n)
+		}
+	}
+	c.add("i3", false)
+	w.await("the wave is completed", w.waveCompleted)
+	w.await("the tasks run again", func() bool { return w.atWork("a", 2) == 2 })
+}
+
+// Guards peaks: an instance of the standby pool comes while tasks wait, and leaves when it has been empty.
+func TestStandbyServesAPeak(t *testing.T) {
+	w := newWorld(t)
+	old := w.catalog.Load()
+	w.catalog.Store(catalog.New(2, []*catalog.Queue{old.Queues["queue"]},
+		[]*catalog.Pool{{Name: testPool, Guarded: true}, {Name: "standby", Standby: true}},
+		[]*catalog.Organisation{old.Organisations["org"]}, catalog.HTTPLimits{}))
+	c := w.withControl()
+	c.add("i1", false)
+	c.add("s1", true)
+	o := w.owner(true)
+	w.submit(o, newJob("a", 8)) // twice the room of i1
+	w.await("all tasks run", func() bool { return w.atWork("a", 8) == 8 })
+	if orders := c.ordered(); !slices.Equal(orders, []string{"move s1 " + testPool}) {
+		t.Errorf("orders %v, want one move", orders)
+	}
+}
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -147,7 +147,7 @@
 	if w == nil {
 		w = &worker{info: workers.Info{ID: id}, runs: map[string]*placement{}, emptySince: time.Now()}
 		w.leaseUntil = o.began.Add(lapsed(leaseTime))
-		if !o.term.HandedOver {
+		if !o.term.PredecessorGone {
 			// The owner before may go on renewing for as long as it is allowed to without the store.
 			w.leaseUntil = w.leaseUntil.Add(renewBound)
 		}
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -86,12 +86,16 @@
 }
 
 func (w *world) publish(info workers.Info) {
-	data, err := json.Marshal(info)
+	w.infos[info.ID] = info
+	w.store.Put("workers", info.ID, encodeJSON(w.t, info))
+}
+
+func encodeJSON(t *testing.T, v any) []byte {
+	data, err := json.Marshal(v)
 	if err != nil {
-		w.t.Fatal(err)
+		t.Fatal(err)
 	}
-	w.infos[info.ID] = info
-	w.store.Put("workers", info.ID, data)
+	return data
 }
 
 // running is an owner in its term.
@@ -102,12 +106,12 @@
 	done chan error
 }
 
-// owner starts the next owner. handedOver tells it that the one before has stopped by itself.
-func (w *world) owner(handedOver bool) *running {
+// owner starts the next owner. gone tells it that the one before has stopped.
+func (w *world) owner(gone bool) *running {
 	w.fence++
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{end: cancel, done: make(chan error, 1)}
-	r.term = leader.NewTerm(w.fence, handedOver)
+	r.term = leader.NewTerm(w.fence, gone)
 	r.Owner = New(ctx, Config{
 		Store: w.store, Workers: w.fleet, Control: w.control, Codec: codec{}, Catalog: w.catalog.Load,
 		OnCatalog: func(*catalog.Catalog) {}, Name: fmt.Sprint("owner-", w.fence), MaxCallBytes: 1 << 20,
--- a/internal/workers/workertest/fleet.go
+++ b/internal/workers/workertest/fleet.go
@@ -76,6 +76,27 @@
 	return w
 }
 
+// Remove ends the worker at an address: nothing answers there, and what it ran is gone.
+func (f *Fleet) Remove(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.workers, address)
+}
+
+// Running returns the names of all tasks that run anywhere.
+func (f *Fleet) Running() map[string]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := map[string]bool{}
+	for _, w := range f.workers {
+		w.advance()
+		for task := range w.runs {
+			all[task] = true
+		}
+	}
+	return all
+}
+
 // Starts returns every run that began.
 func (f *Fleet) Starts() []Start {
 	f.mu.Lock()
