--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -7,6 +7,8 @@
 	"github.com/spf13/cobra"
 
 	"github.com/pollenford/pollenford/internal/entry"
+	"github.com/pollenford/pollenford/internal/logs"
+	"github.com/pollenford/pollenford/internal/metrics"
 	"github.com/pollenford/pollenford/internal/node"
 	"github.com/pollenford/pollenford/internal/owner"
 	"github.com/pollenford/pollenford/platform"
@@ -25,17 +27,25 @@
 			if err != nil {
 				return err
 			}
+			out := logs.NewWriter(cmd.OutOrStdout())
+			defer out.Close()
 			log := hclog.New(&hclog.LoggerOptions{
-				Name: "pollenford", Level: hclog.LevelFromString(level), JSONFormat: true, Output: cmd.OutOrStdout(),
+				Name: "pollenford", Level: hclog.LevelFromString(level), JSONFormat: true, Output: out,
 			})
-			return node.Run(cmd.Context(), nodeConfig(s, log))
+			m := metrics.New(s.Entry, s.Zone)
+			defer func() {
+				if err := m.Close(); err != nil {
+					log.Warn("closing metrics", "err", err)
+				}
+			}()
+			return node.Run(cmd.Context(), nodeConfig(s, log, m, out))
 		},
 	}
 	cmd.Flags().StringVar(&level, "log-level", "info", "trace, debug, info, warn or error")
 	return cmd
 }
 
-func nodeConfig(s *platform.Settings, log hclog.Logger) node.Config {
+func nodeConfig(s *platform.Settings, log hclog.Logger, m *metrics.Metrics, out *logs.Writer) node.Config {
 	cfg := node.Config{
 		Name: s.Entry, ClientAddress: s.ClientAddress, ReadyAddress: s.ReadyAddress, PeerAddress: s.PeerAddress,
 		MetricsAddress: s.MetricsAddress, ReadyPath: platform.ReadyPath,
@@ -45,7 +55,10 @@
 			Notice: s.Timing.Notice, Move: s.Timing.Move, Upkeep: s.Timing.Upkeep,
 		},
 		Grace: s.Timing.Grace, MaxCallBytes: s.MaxCallBytes, MemoryMB: s.MemoryMB, Log: log,
-		Front: func(e *entry.Entry) http.Handler { return &platform.Front{Entry: e, Log: log.Named("front")} },
+		Metrics: m.Handler, Scope: m.Scope, LogLinesDropped: out.Dropped,
+		Front: func(e *entry.Entry) http.Handler {
+			return &platform.Front{Entry: e, Log: log.Named("front"), Scope: m.Scope}
+		},
 		Reload: func() {
 			if _, err := platform.LoadSettings(); err != nil {
 				log.Error("changed settings are not valid; the old ones stay in force", "err", err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/pollenford/pollenford/internal/directory"
 	"github.com/pollenford/pollenford/internal/entry"
@@ -47,6 +48,10 @@
 	MemoryMB     int
 	// Front makes the handler for clients.
 	Front func(*entry.Entry) http.Handler
+	// Metrics serves scrapes, Scope takes counters and histograms; LogLinesDropped counts lines not yet reported.
+	Metrics         http.Handler
+	Scope           tally.Scope
+	LogLinesDropped func() int64
 	// Reload is called when the settings may have changed.
 	Reload func()
 	Log    hclog.Logger
@@ -62,7 +67,8 @@
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 15 * time.Second
 	configWait     = 2 * time.Second
-	memoryPercent  = 60 // of the memory limit, from which the garbage collector works harder
+	reportEvery    = time.Second // the time between two updates of gauges, as often as metrics are reported
+	memoryPercent  = 60          // of the memory limit, from which the garbage collector works harder
 	maxHeaderBytes = 16 << 10
 )
 
@@ -107,6 +113,7 @@
 	go n.followCatalog(life)
 	go n.entry.Connect(life)
 	go n.watchReload(life)
+	go n.reportState(life)
 	electorCtx, leave := context.WithCancel(life)
 	var election sync.WaitGroup
 	election.Go(func() { n.elector.Run(electorCtx) })
@@ -143,7 +150,7 @@
 	o := owner.New(ctx, owner.Config{
 		Store: n.cfg.Store, Workers: n.cfg.Workers, Control: n.cfg.Control, Codec: n.cfg.Codec,
 		Catalog: n.entry.Catalog, OnCatalog: n.entry.SetCatalog, Name: n.cfg.Name, Timing: n.cfg.Timing,
-		MaxCallBytes: n.cfg.MaxCallBytes, Log: n.cfg.Log.Named("owner"),
+		MaxCallBytes: n.cfg.MaxCallBytes, Scope: n.cfg.Scope.SubScope("owner"), Log: n.cfg.Log.Named("owner"),
 	}, term)
 	if err := o.Recover(); err != nil {
 		return err
@@ -155,7 +162,7 @@
 
 func (n *node) listen() ([]net.Listener, error) {
 	var all []net.Listener
-	for _, address := range []string{n.cfg.ClientAddress, n.cfg.ReadyAddress, n.cfg.PeerAddress} {
+	for _, address := range []string{n.cfg.ClientAddress, n.cfg.ReadyAddress, n.cfg.PeerAddress, n.cfg.MetricsAddress} {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			return nil, errors.Annotate(err, "listening")
@@ -182,6 +189,7 @@
 		},
 		{Handler: ready, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: logger},
 		{Handler: peers, ReadHeaderTimeout: headerTimeout, ErrorLog: logger},
+		{Handler: n.cfg.Metrics, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: logger},
 	}
 }
 
@@ -206,6 +214,28 @@
 	f.Run(ctx)
 }
 
+// reportState keeps gauges of what the process believes.
+func (n *node) reportState(ctx context.Context) {
+	for {
+		version := int64(0)
+		if c := n.entry.Catalog(); c != nil {
+			version = c.Version
+		}
+		owner, _ := n.elector.Current()
+		leading := 0.0
+		if n.current.Load() != nil {
+			leading = 1
+		}
+		n.cfg.Scope.Gauge("config_version").Update(float64(version))
+		n.cfg.Scope.Gauge("owner_fence").Update(float64(owner.Fence))
+		n.cfg.Scope.Gauge("is_owner").Update(leading)
+		n.cfg.Scope.Gauge("log_lines_dropped").Update(float64(n.cfg.LogLinesDropped()))
+		if !wait.For(ctx, reportEvery) {
+			return
+		}
+	}
+}
+
 func (n *node) watchReload(ctx context.Context) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -72,6 +72,7 @@
 			o.cancel(err)
 			return
 		}
+		o.metrics.appended.RecordDuration(time.Since(c.stuckSince))
 		o.post(func() {
 			c.flying = false
 			for i, j := range saved {
--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -378,6 +378,7 @@
 	inst.ordered = false
 	switch {
 	case err == nil:
+		o.metrics.upkeeps.Inc(1)
 		o.log.Info("upkeep begun", "wave", w.Number, "instance", id, "worker", inst.info.Worker)
 		w.begun[id] = true
 		inst.cordonedAt = time.Time{}
--- /dev/null
+++ b/internal/owner/metrics.go
@@ -0,0 +1,36 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// metrics counts what the owner decides. Each has a fixed set of tags, so that its cost does not grow with the work.
+type metrics struct {
+	accepted, rejected, cancelled tally.Counter
+	starts, refused, unanswered   tally.Counter
+	lost, upkeeps, moves          tally.Counter
+	ended                         map[string]tally.Counter // jobs by state
+	appended, recovery, firstRun  tally.Histogram
+	active, workers               tally.Gauge
+}
+
+// durations are the upper bounds of histograms: 1 ms to 16 s.
+var durations = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
+
+func newMetrics(scope tally.Scope) metrics {
+	m := metrics{
+		accepted: scope.Counter("jobs_accepted"), rejected: scope.Counter("jobs_rejected"), cancelled: scope.Counter("jobs_cancelled"),
+		starts: scope.Counter("starts"), refused: scope.Counter("starts_refused"), unanswered: scope.Counter("starts_unanswered"),
+		lost: scope.Counter("runs_lost"), upkeeps: scope.Counter("upkeeps"), moves: scope.Counter("moves"),
+		appended: scope.Histogram("append_latency", durations), recovery: scope.Histogram("recovery", durations),
+		firstRun: scope.Histogram("first_start", durations),
+		active:   scope.Gauge("jobs_active"), workers: scope.Gauge("workers_held"),
+		ended: map[string]tally.Counter{},
+	}
+	for _, state := range []string{"completed", "failed", "cancelled"} {
+		m.ended[state] = scope.Tagged(map[string]string{"state": state}).Counter("jobs_ended")
+	}
+	return m
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/pollenford/pollenford/internal/catalog"
 	"github.com/pollenford/pollenford/internal/directory"
@@ -76,6 +77,7 @@
 	Timing Timing
 	// MaxCallBytes bounds an append.
 	MaxCallBytes int
+	Scope        tally.Scope
 	Log          hclog.Logger
 }
 
@@ -103,6 +105,7 @@
 	waiting map[string]int64
 	// evicted counts, for each pool, lasting tasks of a step that are to leave their worker and have nowhere to go.
 	evicted map[string]int
+	metrics metrics
 	seen    map[string]int64 // unreadable records that were logged, with their offset
 }
 
@@ -134,7 +137,7 @@
 	o := &Owner{
 		cfg: cfg, term: term, log: cfg.Log.With("fence", term.Fence), events: make(chan func(), eventQueue),
 		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{},
-		usage: map[string]catalog.Resources{}, began: time.Now(), seen: map[string]int64{},
+		usage: map[string]catalog.Resources{}, began: time.Now(), seen: map[string]int64{}, metrics: newMetrics(cfg.Scope),
 	}
 	o.ctx, o.cancel = context.WithCancelCause(ctx)
 	o.fleet.init()
@@ -157,6 +160,7 @@
 	}
 	o.began = time.Now()
 	o.load(records)
+	o.metrics.recovery.RecordDuration(time.Since(began))
 	o.log.Info("took over", "records", len(records), "active_jobs", len(o.active), "ms", time.Since(began).Milliseconds())
 	return nil
 }
@@ -340,6 +344,7 @@
 		}
 	}
 	o.forget(now)
+	o.report()
 	o.tickFleet(now)
 	// Placements that wait for a time rather than an event are looked at again now and then.
 	if now.Sub(o.lastTry) > retryPlacement {
@@ -365,6 +370,18 @@
 	}
 }
 
+// report updates the gauges.
+func (o *Owner) report() {
+	held := 0
+	for _, w := range o.workers {
+		if w.synced {
+			held++
+		}
+	}
+	o.metrics.workers.Update(float64(held))
+	o.metrics.active.Update(float64(len(o.active)))
+}
+
 // forgetMargin keeps ended jobs for longer than promised, for clocks that jump.
 const forgetMargin = 30 * time.Second
 
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -205,6 +205,10 @@
 		}
 		o.start(r.job, ref, run, view.workers[chosen[i]])
 	}
+	if len(waiting) > 0 {
+		o.log.Info("tasks placed", "job", r.job.spec.ID, "occurrence", r.occurrence.Number, "step", r.step, "tasks", len(waiting),
+			"of", step.Count, "config", o.cfg.Catalog().Version, "age_ms", time.Now().UnixMilli()-r.job.spec.ReceivedMS)
+	}
 	return need.CPU * o.allowed(r, org)
 }
 
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -98,6 +98,7 @@
 
 // move orders a move. The instance gets no new work from here on, also while the outcome of the order is unknown.
 func (o *Owner) move(inst *instance, m pool.Move) {
+	o.metrics.moves.Inc(1)
 	o.log.Info("moving an instance", "instance", m.Instance, "from", m.From, "to", m.To)
 	inst.ordered = true
 	inst.movingTo = m.To
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -65,6 +65,9 @@
 
 // start places a task on a worker and orders it once that is recorded.
 func (o *Owner) start(j *job, ref workload.Ref, run int, w *worker) {
+	if !j.progress.Begun {
+		o.metrics.firstRun.RecordDuration(time.Duration(time.Now().UnixMilli()-j.spec.ReceivedMS) * time.Millisecond)
+	}
 	if err := j.progress.Place(ref, run, w.info.ID, w.info.Incarnation); err != nil {
 		o.log.Error("placement refused", "job", j.spec.ID, "err", err)
 		return
@@ -87,6 +90,8 @@
 		return
 	}
 	order.UntilMS = o.lease(w)
+	o.metrics.starts.Inc(1)
+	o.log.Debug("starting a run", "task", p.name, "run", p.run, "worker", w.info.ID, "until_ms", order.UntilMS)
 	to := w.session.target
 	go func() {
 		ctx, stop := context.WithTimeout(o.ctx, orderTimeout)
@@ -114,6 +119,7 @@
 	case errors.Is(err, workers.ErrFenced):
 		o.replaced("worker " + w.info.ID + " follows a newer owner")
 	case isRefusal(err):
+		o.metrics.refused.Inc(1)
 		o.log.Info("start refused", "task", p.name, "run", p.run, "worker", w.info.ID, "reason", err)
 		w.avoidUntil = time.Now().Add(refusalPause)
 		if errors.Is(err, workers.ErrUnhealthy) {
@@ -121,6 +127,7 @@
 		}
 		o.lose(w, p, "the worker refused it")
 	default:
+		o.metrics.unanswered.Inc(1)
 		o.log.Warn("start without an answer", "task", p.name, "run", p.run, "worker", w.info.ID, "err", err)
 		w.avoidUntil = time.Now().Add(silencePause)
 		w.health.silent(time.Now())
@@ -229,6 +236,7 @@
 
 // lose takes note that a run is not there any more, or never was, without an end.
 func (o *Owner) lose(w *worker, p *placement, why string) {
+	o.metrics.lost.Inc(1)
 	o.log.Info("run lost", "task", p.name, "run", p.run, "worker", w.info.ID, "why", why)
 	o.release(w, p)
 	o.afterEnd(p.job, p.job.progress.End(p.job.spec, p.ref, p.run, false, false, "", 0))
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -51,10 +51,12 @@
 			return
 		}
 		if silent := o.storeSilentFor(); silent > storePatience {
+			o.metrics.rejected.Inc(1)
 			r.give(&jobs.Rejection{Reason: "the store does not answer", RetryAfter: storeRetryAfter, Overloaded: true})
 			return
 		}
 		if rejection := o.admit(spec); rejection != nil {
+			o.metrics.rejected.Inc(1)
 			o.log.Info("job rejected", "job", spec.ID, "reason", rejection.Reason, "retry_after", rejection.RetryAfter)
 			r.give(rejection)
 			return
@@ -67,6 +69,7 @@
 		o.changed(j)
 		o.replan = true
 		o.afterCommit(func() { r.give(nil) })
+		o.metrics.accepted.Inc(1)
 		o.log.Info("job accepted", "job", spec.ID, "queue", spec.Queue, "organisation", spec.Organisation, "steps", len(spec.Steps))
 	})
 }
@@ -120,6 +123,7 @@
 			return
 		}
 		if j.progress.Cancel() {
+			o.metrics.cancelled.Inc(1)
 			o.log.Info("job cancelled", "job", id)
 			o.endJob(j)
 		}
@@ -151,7 +155,8 @@
 	delete(o.active, id)
 	o.ended = append(o.ended, endedJob{id, j.progress.EndedMS})
 	o.changed(j)
-	o.log.Info("job ended", "job", id, "state", j.progress.State)
+	o.metrics.ended[j.progress.State.String()].Inc(1)
+	o.log.Info("job ended", "job", id, "state", j.progress.State, "ms", j.progress.EndedMS-j.spec.ReceivedMS)
 	for _, w := range o.workers {
 		for _, p := range w.runs {
 			if p.job == j {
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/pollenford/pollenford/internal/catalog"
 	"github.com/pollenford/pollenford/internal/directory"
@@ -114,7 +115,7 @@
 	r.term = leader.NewTerm(w.fence, gone)
 	r.Owner = New(ctx, Config{
 		Store: w.store, Workers: w.fleet, Control: w.control, Codec: codec{}, Catalog: w.catalog.Load,
-		OnCatalog: func(*catalog.Catalog) {}, Name: fmt.Sprint("owner-", w.fence), MaxCallBytes: 1 << 20,
+		OnCatalog: func(*catalog.Catalog) {}, Name: fmt.Sprint("owner-", w.fence), MaxCallBytes: 1 << 20, Scope: tally.NoopScope,
 		Timing: Timing{MaxHold: 10 * time.Second, StopTime: 50 * time.Millisecond, Status: time.Minute, Upkeep: 200 * time.Millisecond, Notice: time.Second},
 		Log:    hclog.New(&hclog.LoggerOptions{Output: testWriter{w.t}, Level: hclog.Debug}),
 	}, r.term)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -12,6 +12,7 @@
 // for a while, each at most once and none that the pool needs.
 func TestPlan(t *testing.T) {
 	const idle = 5 * time.Second
+	policy := Policy{IdleFor: time.Second, Reserve: 16_000, SelfRelief: 0.5}
 	standby := func(instances ...Instance) State { return State{Name: "standby", Standby: true, Empty: instances} }
 	for name, c := range map[string]struct {
 		pools []State
@@ -56,7 +57,7 @@
 			[]State{{Name: "a", Waiting: 10_000}, standby(Instance{ID: "s1", CPU: 16_000, Refused: []string{"a"}})}, nil,
 		},
 	} {
-		if got := Plan(c.pools, DefaultPolicy()); !reflect.DeepEqual(got, c.want) {
+		if got := Plan(c.pools, policy); !reflect.DeepEqual(got, c.want) {
 			t.Errorf("%s: %v, want %v", name, got, c.want)
 		}
 	}
--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -3,19 +3,18 @@
 import (
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/pollenford/pollenford/internal/porttest"
 )
 
 // stopDeadline bounds a graceful stop in a scenario.
@@ -62,18 +61,6 @@
 	return p
 }
 
-// Ports of scenarios are below the range from which the system takes the ports of outgoing connections. A port of that
-// range can be taken by a scenario that runs beside this one, before the process that it is meant for listens on it.
-const (
-	firstPort = 10_000
-	portCount = 20_000
-)
-
-// nextPort counts the ports given out, from a random start, because other test processes run at the same time.
-var nextPort atomic.Uint32
-
-func init() { nextPort.Store(rand.Uint32N(portCount)) }
-
 // cmdPorts sets each variable to a free loopback address.
 func cmdPorts(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
@@ -82,15 +69,9 @@
 }
 
 func freeAddress(ts *testscript.TestScript) string {
-	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
-		if l, err := net.Listen("tcp", address); err == nil {
-			ts.Check(l.Close())
-			return address
-		}
-	}
-	ts.Fatalf("no free port")
-	return ""
+	address, err := porttest.Address()
+	ts.Check(err)
+	return address
 }
 
 // cmdSpawn starts "pollenford ARGS" in the background; its output goes to NAME.log.
