Record an upkeep before it is ordered

Change: the order is recorded before it is sent; what was ordered counts as down and is ordered again until answered; an instance of the wave that is listed in upkeep has begun. Test: TestSuccessorCountsUpkeepsInFlight, two instances down at once without the change, one with it.

--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -63,6 +64,8 @@
 	Number    int64    `cbor:"1,keyasint"`
 	Begun     []string `cbor:"2,keyasint"` // instances whose upkeep has begun
 	Completed bool     `cbor:"3,keyasint"`
+	// Ordered lists instances whose upkeep is about to be ordered, or was without an answer: it may begin at any time.
+	Ordered []string `cbor:"4,keyasint,omitempty"`
 }
 
 type wave struct {
@@ -214,6 +217,10 @@
 		if inst == nil || !inst.listed {
 			continue // it has left
 		}
+		if !w.begun[id] && inst.info.State == instances.Upkeep {
+			w.hasBegun(id) // by an order that had no answer
+			o.recordWave(w)
+		}
 		if w.begun[id] {
 			if inst.info.State == instances.Upkeep || now.Before(inst.quietUntil) {
 				busy++
@@ -222,7 +229,10 @@
 		}
 		open++
 		switch {
-		case !inst.cordonedAt.IsZero():
+		case !inst.cordonedAt.IsZero() || slices.Contains(w.progress.Ordered, id):
+			if inst.cordonedAt.IsZero() {
+				inst.cordonedAt = now // ordered by an earlier owner
+			}
 			busy++
 			o.prepareUpkeep(w, inst, now)
 		case inst.info.State == instances.Up && now.After(inst.quietUntil) && inst.movingTo == "":
@@ -280,9 +290,29 @@
 	}
 	inst.ordered = true
 	id, number := inst.info.ID, w.Number
-	o.orderInstance(func(ctx context.Context) error {
-		return o.cfg.Control.Upkeep(ctx, o.holder(), id, number)
-	}, func(err error) { o.upkeepAnswered(w, inst, err) })
+	if !slices.Contains(w.progress.Ordered, id) {
+		w.progress.Ordered = append(w.progress.Ordered, id)
+		o.recordWave(w)
+	}
+	o.afterCommit(func() {
+		o.orderInstance(func(ctx context.Context) error {
+			return o.cfg.Control.Upkeep(ctx, o.holder(), id, number)
+		}, func(err error) { o.upkeepAnswered(w, inst, err) })
+	})
+}
+
+// hasBegun takes note that the upkeep of an instance has begun.
+func (w *wave) hasBegun(id string) {
+	w.notOrdered(id)
+	if !w.begun[id] {
+		w.begun[id] = true
+		w.progress.Begun = append(w.progress.Begun, id)
+	}
+}
+
+// notOrdered takes note that no order for an instance is on its way any more.
+func (w *wave) notOrdered(id string) {
+	w.progress.Ordered = slices.DeleteFunc(w.progress.Ordered, func(other string) bool { return other == id })
 }
 
 // evacuated cordons the worker on an instance and reports whether it may be taken down now.
@@ -380,15 +410,18 @@
 	case err == nil:
 		o.metrics.upkeeps.Inc(1)
 		o.log.Info("upkeep begun", "wave", w.Number, "instance", id, "worker", inst.info.Worker)
-		w.begun[id] = true
+		w.hasBegun(id)
 		inst.cordonedAt = time.Time{}
 		inst.quietUntil = time.Now().Add(o.cfg.Timing.Upkeep + 2*listEvery)
-		w.progress.Begun = append(w.progress.Begun, id)
 		o.recordWave(w)
 	case errors.Is(err, instances.ErrFenced):
 		o.replaced("the instance service follows a newer owner")
 	default:
 		o.log.Info("upkeep refused", "wave", w.Number, "instance", id, "reason", err)
+		if isInstanceAnswer(err) {
+			w.notOrdered(id)
+			o.recordWave(w)
+		}
 		inst.cordonedAt = time.Time{}
 		inst.quietUntil = time.Now().Add(2 * listEvery)
 		if worker := o.workers[inst.info.Worker]; worker != nil {
--- a/internal/owner/fleet_test.go
+++ b/internal/owner/fleet_test.go
@@ -26,7 +26,9 @@
 	orders []string
 	lives  int
 	down   int
-	most   int // instances that were down at once
+	most   int           // instances that were down at once
+	away   time.Duration // how long an instance is away; returnTime if it is 0
+	mute   bool          // orders are carried out without an answer
 }
 
 func (w *world) withControl() *control {
@@ -69,8 +71,16 @@
 }
 
 // Upkeep implements instances.Control.
-func (c *control) Upkeep(_ context.Context, _ instances.Holder, instance string, _ int64) error {
-	return c.order("upkeep "+instance, instance, testPool, instances.Upkeep)
+func (c *control) Upkeep(ctx context.Context, _ instances.Holder, instance string, _ int64) error {
+	err := c.order("upkeep "+instance, instance, testPool, instances.Upkeep)
+	c.mu.Lock()
+	mute := c.mute
+	c.mu.Unlock()
+	if mute {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return err
 }
 
 // Move implements instances.Control.
@@ -85,6 +95,9 @@
 	if i < 0 {
 		return instances.ErrInvalid
 	}
+	if slices.Contains(c.orders, order) && state == instances.Upkeep {
+		return nil // done already
+	}
 	if c.list[i].State != instances.Up {
 		return instances.ErrBusy
 	}
@@ -96,7 +109,11 @@
 		c.w.store.Put("workers", id, nil)
 	}
 	c.list[i].State, c.list[i].Worker, c.list[i].Pool = state, "", pool
-	time.AfterFunc(returnTime, func() {
+	away := c.away
+	if away == 0 {
+		away = returnTime
+	}
+	time.AfterFunc(away, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.down--
@@ -182,6 +199,31 @@
 	}
 }
 
+// Guards the bound of a wave across a change of owner: an upkeep whose order had no answer counts for the successor.
+// (sonda-sched trouble-3: one instance too many was taken down 1.5 s after the owner had lost power.)
+func TestSuccessorCountsUpkeepsInFlight(t *testing.T) {
+	w := newWorld(t)
+	c := w.withControl()
+	c.away, c.mute = 3*time.Second, true
+	for _, id := range []string{"i1", "i2", "i3"} {
+		c.add(id, false)
+	}
+	first := w.owner(true)
+	w.startWave(1, "i1", "i2", "i3")
+	w.await("an upkeep was ordered", func() bool { return len(c.ordered()) == 1 })
+	first.stop()
+	c.mu.Lock()
+	c.mute = false
+	c.mu.Unlock()
+	w.owner(true)
+	w.await("the wave is completed", w.waveCompleted)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.most > 1 || len(c.orders) != 3 {
+		t.Errorf("%d instances were down at once, want 1; orders %v", c.most, c.orders)
+	}
+}
+
 // Guards lasting tasks in a small pool: one is stopped for an upkeep only when another worker can take it.
 func TestUpkeepWaitsForAHost(t *testing.T) {
 	w := newWorld(t)
