--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -70,5 +70,8 @@
 	if s.InstanceAddress != "" {
 		cfg.Control = platform.NewInstances(s.InstanceAddress)
 	}
+	if s.AdviceAddress != "" {
+		cfg.Advice = platform.NewAdvice(s.AdviceAddress)
+	}
 	return cfg
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/pollenford/pollenford/internal/advice"
 	"github.com/pollenford/pollenford/internal/directory"
 	"github.com/pollenford/pollenford/internal/entry"
 	"github.com/pollenford/pollenford/internal/instances"
@@ -40,6 +41,7 @@
 	Store     topic.Store
 	Workers   workers.Client
 	Control   instances.Control // nil where instances cannot be controlled
+	Advice    advice.Adviser    // nil where there is none
 	Codec     directory.Codec
 	Timing    owner.Timing
 	// Grace is the time between the signal to stop and the end of the process.
@@ -148,7 +150,8 @@
 
 func (n *node) serveAsOwner(ctx context.Context, term *leader.Term) error {
 	o := owner.New(ctx, owner.Config{
-		Store: n.cfg.Store, Workers: n.cfg.Workers, Control: n.cfg.Control, Codec: n.cfg.Codec,
+		Store: n.cfg.Store, Workers: n.cfg.Workers, Control: n.cfg.Control, Advice: n.cfg.Advice,
+		Codec:   n.cfg.Codec,
 		Catalog: n.entry.Catalog, OnCatalog: n.entry.SetCatalog, Name: n.cfg.Name, Timing: n.cfg.Timing,
 		MaxCallBytes: n.cfg.MaxCallBytes, Scope: n.cfg.Scope.SubScope("owner"), Log: n.cfg.Log.Named("owner"),
 	}, term)
--- /dev/null
+++ b/internal/owner/advise_test.go
@@ -0,0 +1,112 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/pollenford/pollenford/internal/advice"
+	"github.com/pollenford/pollenford/internal/catalog"
+	"github.com/pollenford/pollenford/internal/workers"
+	"github.com/pollenford/pollenford/internal/workload"
+)
+
+// adviser allows one worker, after a number of refused calls.
+type adviser struct {
+	allowed string
+	mu      sync.Mutex
+	refuse  int // protected by mu
+	calls   int // protected by mu
+}
+
+func (a *adviser) Advise(_ context.Context, _ string, ids []string) (advice.Answer, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calls++
+	if a.refuse > 0 {
+		a.refuse--
+		return advice.Answer{}, errors.New("32 calls are waiting")
+	}
+	answer := advice.Answer{Tickets: map[string]string{}, Valid: 2 * time.Second}
+	for _, id := range ids {
+		if id == a.allowed {
+			answer.Tickets[id] = "ticket-of-" + id
+		}
+	}
+	return answer, nil
+}
+
+// Guards advised queues: tasks start only where a ticket allows it, and a refused call for advice is made again.
+func TestAdvisedQueueStartsWhereItIsAllowed(t *testing.T) {
+	w := newWorld(t)
+	old := w.catalog.Load()
+	q := *old.Queues["queue"]
+	q.Advised = true
+	w.catalog.Store(catalog.New(2, []*catalog.Queue{&q}, []*catalog.Pool{old.Pools[testPool]},
+		[]*catalog.Organisation{old.Organisations["org"]}, catalog.HTTPLimits{}))
+	for _, id := range []string{"w1", "w2", "w3"} {
+		w.worker(id, 20*time.Millisecond)
+	}
+	w.advice = &adviser{allowed: "w2", refuse: 2}
+	o := w.owner(true)
+	w.submit(o, newJob("a", 6, 2))
+	w.awaitState(o, "a", workload.Completed)
+	for _, s := range w.fleet.Starts() {
+		if s.Worker != "w2" || s.Ticket != "ticket-of-w2" {
+			t.Errorf("%s started on %s with ticket %q", s.Task, s.Worker, s.Ticket)
+		}
+	}
+}
+
+// Guards against a ticket that a worker no longer accepts: advice is asked for again.
+func TestRefusedTicketIsAskedForAgain(t *testing.T) {
+	w := newWorld(t)
+	old := w.catalog.Load()
+	q := *old.Queues["queue"]
+	q.Advised = true
+	w.catalog.Store(catalog.New(2, []*catalog.Queue{&q}, []*catalog.Pool{old.Pools[testPool]},
+		[]*catalog.Organisation{old.Organisations["org"]}, catalog.HTTPLimits{}))
+	worker := w.worker("w1", 20*time.Millisecond)
+	a := &adviser{allowed: "w1"}
+	w.advice = a
+	worker.Refuse(workers.ErrTicket)
+	o := w.owner(true)
+	w.submit(o, newJob("a", 1))
+	w.await("advice is asked for again", func() bool { a.mu.Lock(); defer a.mu.Unlock(); return a.calls > 1 })
+	worker.Refuse(nil)
+	w.awaitState(o, "a", workload.Completed)
+}
+
+// Guards gangs: the members start together with one run number or not at all, and one end stands for all.
+func TestGangStartsTogether(t *testing.T) {
+	w := newWorld(t)
+	first := w.worker("w1", 0)
+	o := w.owner(true)
+	gang := newJob("a", 6) // four fit on one worker
+	gang.Steps[0].Gang = true
+	w.submit(o, gang)
+	w.await("the worker is held", func() bool { return first.Fence() == 1 })
+	time.Sleep(2 * retryPlacement)
+	if n := len(w.fleet.Starts()); n != 0 {
+		t.Fatalf("%d members started without the others", n)
+	}
+	second := w.worker("w2", 0)
+	w.await("all members run", func() bool { return len(first.Running())+len(second.Running()) == 6 })
+	for _, s := range w.fleet.Starts() {
+		if s.Run != 1 {
+			t.Errorf("%s started as run %d", s.Task, s.Run)
+		}
+	}
+	for _, worker := range []interface {
+		Running() map[string]int
+		End(string, workers.How)
+	}{first, second} {
+		for task := range worker.Running() {
+			worker.End(task, workers.Done)
+		}
+	}
+	w.awaitState(o, "a", workload.Completed)
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/pollenford/pollenford/internal/advice"
 	"github.com/pollenford/pollenford/internal/catalog"
 	"github.com/pollenford/pollenford/internal/directory"
 	"github.com/pollenford/pollenford/internal/instances"
@@ -68,7 +69,9 @@
 	Workers workers.Client
 	// Control is nil where instances cannot be controlled.
 	Control instances.Control
-	Codec   directory.Codec
+	// Advice is nil where the deployment has no placement advice.
+	Advice advice.Adviser
+	Codec  directory.Codec
 	// Catalog returns the configuration in force on this instance, and OnCatalog offers it a newer one.
 	Catalog   func() *catalog.Catalog
 	OnCatalog func(*catalog.Catalog)
@@ -105,6 +108,7 @@
 	waiting map[string]int64
 	// evicted counts, for each pool, lasting tasks of a step that are to leave their worker and have nowhere to go.
 	evicted map[string]int
+	tickets map[stepOn]*tickets
 	metrics metrics
 	seen    map[string]int64 // unreadable records that were logged, with their offset
 }
@@ -138,6 +142,7 @@
 		cfg: cfg, term: term, log: cfg.Log.With("fence", term.Fence), events: make(chan func(), eventQueue),
 		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{},
 		usage: map[string]catalog.Resources{}, began: time.Now(), seen: map[string]int64{}, metrics: newMetrics(cfg.Scope),
+		tickets: map[stepOn]*tickets{},
 	}
 	o.ctx, o.cancel = context.WithCancelCause(ctx)
 	o.fleet.init()
@@ -344,6 +349,7 @@
 		}
 	}
 	o.forget(now)
+	o.forgetTickets()
 	o.report()
 	o.tickFleet(now)
 	// Placements that wait for a time rather than an event are looked at again now and then.
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -82,7 +82,7 @@
 	for i := range list {
 		r := &list[i]
 		q := c.Queues[r.job.spec.Queue]
-		if q == nil || q.Advised {
+		if q == nil {
 			continue
 		}
 		view := pools[q.Pool]
@@ -90,7 +90,11 @@
 			view = o.viewPool(q.Pool, now)
 			pools[q.Pool] = view
 		}
-		o.waiting[q.Pool] += o.placeStep(r, view, c.Organisations[r.job.spec.Organisation])
+		var allowed *tickets
+		if q.Advised {
+			allowed = o.advised(stepOn{r.job, r.occurrence.Number, r.step}, view, now)
+		}
+		o.waiting[q.Pool] += o.placeStep(r, view, c.Organisations[r.job.spec.Organisation], allowed)
 	}
 }
 
@@ -157,17 +161,19 @@
 }
 
 // placeStep gives the waiting tasks of a step to the workers of its pool and returns the processors that those without
-// room ask for. The members of a gang go together or not at all.
-func (o *Owner) placeStep(r *ready, view *poolView, org *catalog.Organisation) int64 {
+// room ask for. The members of a gang go together or not at all. On an advised queue only workers with a ticket count.
+func (o *Owner) placeStep(r *ready, view *poolView, org *catalog.Organisation, advised *tickets) int64 {
 	step := &r.job.spec.Steps[r.step]
 	need := step.Counted()
 	if view.tooLarge != nil && view.tooLarge.Within(need) {
 		return need.CPU * o.allowed(r, org)
 	}
 	key := stepOn{r.job, r.occurrence.Number, r.step}
+	now := time.Now()
 	for i, w := range view.workers {
 		view.candidates[i].OnStep = w.used.steps[key]
 		view.candidates[i].HasLabel = step.Label == "" || w.info.HasLabel(step.Label)
+		view.candidates[i].Barred = advised != nil && advised.valid(w, now) == ""
 	}
 	usage := o.usage[r.job.spec.Organisation]
 	var chosen []int
@@ -182,7 +188,7 @@
 		}
 		best := schedule.Choose(step, view.candidates)
 		if best < 0 {
-			if step.Label == "" && step.MaxPerWorker == 0 {
+			if step.Label == "" && step.MaxPerWorker == 0 && advised == nil {
 				view.tooLarge = &need
 			}
 			break
@@ -203,7 +209,11 @@
 		if run == 0 || !step.Gang {
 			run = r.job.progress.NextRun(r.job.spec, ref)
 		}
-		o.start(r.job, ref, run, view.workers[chosen[i]])
+		w, text := view.workers[chosen[i]], ""
+		if advised != nil {
+			text = advised.valid(w, now)
+		}
+		o.start(r.job, ref, run, w, text)
 	}
 	if len(waiting) > 0 {
 		o.log.Info("tasks placed", "job", r.job.spec.ID, "occurrence", r.occurrence.Number, "step", r.step, "tasks", len(waiting),
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -64,7 +64,7 @@
 }
 
 // start places a task on a worker and orders it once that is recorded.
-func (o *Owner) start(j *job, ref workload.Ref, run int, w *worker) {
+func (o *Owner) start(j *job, ref workload.Ref, run int, w *worker, ticket string) {
 	if !j.progress.Begun {
 		o.metrics.firstRun.RecordDuration(time.Duration(time.Now().UnixMilli()-j.spec.ReceivedMS) * time.Millisecond)
 	}
@@ -76,7 +76,7 @@
 	o.hold(w, p)
 	o.changed(j)
 	task := j.progress.Task(ref)
-	order := workers.StartOrder{Task: p.name, Run: run, Spec: j.spec.Spec, Checkpoint: task.Checkpoint}
+	order := workers.StartOrder{Task: p.name, Run: run, Spec: j.spec.Spec, Checkpoint: task.Checkpoint, Ticket: ticket}
 	o.afterCommit(func() { o.orderStart(w, p, order) })
 }
 
@@ -122,6 +122,9 @@
 		o.metrics.refused.Inc(1)
 		o.log.Info("start refused", "task", p.name, "run", p.run, "worker", w.info.ID, "reason", err)
 		w.avoidUntil = time.Now().Add(refusalPause)
+		if errors.Is(err, workers.ErrTicket) {
+			delete(o.tickets, stepOn{p.job, p.ref.Occurrence, p.ref.Step}) // the next placement asks again
+		}
 		if errors.Is(err, workers.ErrUnhealthy) {
 			w.health.failed(time.Now())
 		}
--- a/internal/schedule/choose.go
+++ b/internal/schedule/choose.go
@@ -13,13 +13,15 @@
 	HasLabel bool
 	// OnStep is how many tasks of the same occurrence of the step it runs.
 	OnStep int
+	// Barred tells that the queue's policy does not allow the step there.
+	Barred bool
 	// Doubt is how likely the worker is sick: 0 for a sound one.
 	Doubt int
 }
 
 // fits reports whether a task of the step may run on the candidate.
 func (c *Candidate) fits(step *workload.Step) bool {
-	return step.Counted().Within(c.Free) && (step.Label == "" || c.HasLabel) &&
+	return !c.Barred && step.Counted().Within(c.Free) && (step.Label == "" || c.HasLabel) &&
 		(step.MaxPerWorker == 0 || c.OnStep < step.MaxPerWorker)
 }
 
--- a/internal/workers/workertest/fleet.go
+++ b/internal/workers/workertest/fleet.go
@@ -31,6 +31,7 @@
 	Run          int
 	At           time.Time
 	Checkpoint   string
+	Ticket       string
 }
 
 // Worker is one worker of a fleet.
@@ -244,7 +245,7 @@
 		r.ends = time.Now().Add(w.WorkFor)
 	}
 	w.runs[o.Task] = r
-	f.starts = append(f.starts, Start{Worker: w.ID, Task: o.Task, Run: o.Run, At: time.Now(), Checkpoint: o.Checkpoint})
+	f.starts = append(f.starts, Start{Worker: w.ID, Task: o.Task, Run: o.Run, At: time.Now(), Checkpoint: o.Checkpoint, Ticket: o.Ticket})
 	return w.clock(), nil
 }
 
