Fetch instances earlier; look long enough for a task that is stopped without a host

TestUpkeepWaitsForAHost passed without the mechanism in 4 of 6 runs, because its window was as long as a hold; with three holds it failed in 4 of 4.

--- a/internal/owner/fleet_test.go
+++ b/internal/owner/fleet_test.go
@@ -234,7 +234,8 @@
 	w.submit(o, lasting("a", 2, 1)) // one on each, by anti-affinity
 	w.await("the tasks run", func() bool { return w.atWork("a", 2) == 2 })
 	w.startWave(1, "i1")
-	for deadline := time.Now().Add(time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+	// Tasks count as at work only from the worker's next report on, so the owner could stop one after that.
+	for deadline := time.Now().Add(3 * holdWait); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
 		if n := w.atWork("a", 2); n != 2 {
 			t.Fatalf("%d tasks at work while there is no other host", n)
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -23,10 +23,10 @@
 
 // DefaultPolicy follows from the prices of the users' deployments: a move costs as much as 1.1 s of an instance in a
 // pool, so a round trip pays after some 2 s of absence; from a move that takes 1.5 s, in which a pool of tasks of one to
-// two seconds frees about half of what is in use; and from the first seconds of a turn, whose tasks the reserve starts
+// two seconds frees part of what is in use; and from the first seconds of a turn, whose tasks the reserve starts
 // until instances have come.
 func DefaultPolicy() Policy {
-	return Policy{IdleFor: time.Second, Reserve: 32_000, SelfRelief: 0.5}
+	return Policy{IdleFor: time.Second, Reserve: 32_000, SelfRelief: 0.2}
 }
 
 // Instance is an instance that can be moved: up, empty and not about to be maintained.
