--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -30,7 +30,7 @@
 
 const (
 	ownerTopic topic.Name = "keyed.owner"
-	ownerKey              = "owner"
+	ownerKey   string     = "owner"
 )
 
 // Owner is the content of the owner's record.
--- a/internal/workers/workertest/fleet.go
+++ b/internal/workers/workertest/fleet.go
@@ -59,7 +59,6 @@
 type run struct {
 	number int
 	ends   time.Time // zero for a run that lasts
-	failed bool
 }
 
 // Add puts a worker at an address.
