--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"fmt"
 	"net/http"
 
 	"github.com/hashicorp/go-hclog"
@@ -16,6 +17,7 @@
 
 func newNode() *cobra.Command {
 	var level string
+	var check bool
 	cmd := &cobra.Command{
 		Use:   "node",
 		Short: "Run one instance of the job service on the platform",
@@ -27,6 +29,10 @@
 			if err != nil {
 				return err
 			}
+			if check {
+				_, err := fmt.Fprintln(cmd.OutOrStdout(), "settings are valid")
+				return err
+			}
 			out := logs.NewWriter(cmd.OutOrStdout())
 			defer out.Close()
 			log := hclog.New(&hclog.LoggerOptions{
@@ -42,6 +48,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&level, "log-level", "info", "trace, debug, info, warn or error")
+	cmd.Flags().BoolVar(&check, "check", false, "check the settings file and report everything that is wrong")
 	return cmd
 }
 
@@ -51,10 +58,9 @@
 		MetricsAddress: s.MetricsAddress, ReadyPath: platform.ReadyPath,
 		Store: platform.NewStore(s.StoreAddress), Workers: platform.NewWorkers(), Codec: platform.Codec{},
 		Timing: owner.Timing{
-			MaxHold: s.Timing.MaxHold, StopTime: s.Timing.StopTime, Early: s.Timing.Early, Status: s.Timing.Status,
-			Notice: s.Timing.Notice, Move: s.Timing.Move, Upkeep: s.Timing.Upkeep,
+			MaxHold: s.Timing.MaxHold, StopTime: s.Timing.StopTime, Early: s.Timing.Early, Status: s.Timing.Status, Move: s.Timing.Move, Upkeep: s.Timing.Upkeep,
 		},
-		Grace: s.Timing.Grace, MaxCallBytes: s.MaxCallBytes, MemoryMB: s.MemoryMB, Log: log,
+		Grace: s.Timing.Grace, MaxRecordBytes: s.MaxRecordBytes, MaxCallBytes: s.MaxCallBytes, MemoryMB: s.MemoryMB, Log: log,
 		Metrics: m.Handler, Scope: m.Scope, LogLinesDropped: out.Dropped,
 		Front: func(e *entry.Entry) http.Handler {
 			return &platform.Front{Entry: e, Log: log.Named("front"), Scope: m.Scope}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,9 +45,10 @@
 	Codec     directory.Codec
 	Timing    owner.Timing
 	// Grace is the time between the signal to stop and the end of the process.
-	Grace        time.Duration
-	MaxCallBytes int
-	MemoryMB     int
+	Grace time.Duration
+	// MaxRecordBytes and MaxCallBytes bound a record and an append of the store.
+	MaxRecordBytes, MaxCallBytes int
+	MemoryMB                     int
 	// Front makes the handler for clients.
 	Front func(*entry.Entry) http.Handler
 	// Metrics serves scrapes, Scope takes counters and histograms; LogLinesDropped counts lines not yet reported.
@@ -153,7 +154,7 @@
 		Store: n.cfg.Store, Workers: n.cfg.Workers, Control: n.cfg.Control, Advice: n.cfg.Advice,
 		Codec:   n.cfg.Codec,
 		Catalog: n.entry.Catalog, OnCatalog: n.entry.SetCatalog, Name: n.cfg.Name, Timing: n.cfg.Timing,
-		MaxCallBytes: n.cfg.MaxCallBytes, Scope: n.cfg.Scope.SubScope("owner"), Log: n.cfg.Log.Named("owner"),
+		MaxRecordBytes: n.cfg.MaxRecordBytes, MaxCallBytes: n.cfg.MaxCallBytes, Scope: n.cfg.Scope.SubScope("owner"), Log: n.cfg.Log.Named("owner"),
 	}, term)
 	if err := o.Recover(); err != nil {
 		return err
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -58,7 +58,6 @@
 	StopTime time.Duration // longest time that a stop takes
 	Early    time.Duration // how much earlier than due an occurrence may start
 	Status   time.Duration // how long an ended job can be asked for
-	Notice   time.Duration // how long a lasting task may be away before it counts as away
 	Move     time.Duration // until an instance has moved
 	Upkeep   time.Duration // until the upkeep of an instance is over
 }
@@ -78,10 +77,10 @@
 	// Name identifies the instance as the holder of duties.
 	Name   string
 	Timing Timing
-	// MaxCallBytes bounds an append.
-	MaxCallBytes int
-	Scope        tally.Scope
-	Log          hclog.Logger
+	// MaxRecordBytes bounds a record of the store, MaxCallBytes an append.
+	MaxRecordBytes, MaxCallBytes int
+	Scope                        tally.Scope
+	Log                          hclog.Logger
 }
 
 // Owner is one term as the owner of the shard.
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -267,6 +267,23 @@
 	}
 }
 
+// Guards the owner against a job that the store can never take: its append would hold up every decision behind it.
+func TestJobTooLargeForTheStoreIsRejected(t *testing.T) {
+	w := newWorld(t)
+	w.worker("w1", 10*time.Millisecond)
+	o := w.owner(true)
+	large := newJob("a", 1)
+	for range 4000 { // some 20 bytes each, against records of 64 KiB
+		large.Steps = append(large.Steps, large.Steps[0])
+	}
+	var rejection *jobs.Rejection
+	if err := o.Submit(t.Context(), large); !errors.As(err, &rejection) || !rejection.Permanent {
+		t.Errorf("%v, want a permanent rejection", err)
+	}
+	w.submit(o, newJob("b", 1))
+	w.awaitState(o, "b", workload.Completed)
+}
+
 // Guards against work for a worker that leaves.
 func TestDrainingWorkerGetsNoNewWork(t *testing.T) {
 	w := newWorld(t)
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -7,6 +7,7 @@
 	"github.com/pollenford/pollenford/internal/catalog"
 	"github.com/pollenford/pollenford/internal/jobs"
 	"github.com/pollenford/pollenford/internal/schedule"
+	"github.com/pollenford/pollenford/internal/topic"
 	"github.com/pollenford/pollenford/internal/workload"
 )
 
@@ -41,6 +42,10 @@
 		// The entry knows a configuration that has not arrived here, or this instance a newer one.
 		return &jobs.Rejection{Reason: "the queue is not known to the owner", RetryAfter: time.Second}
 	}
+	if size := len(o.encode(spec)) + recordSize(topic.Record{Key: jobKey + spec.ID}); size > o.cfg.MaxRecordBytes {
+		// An append that the store can never take would hold up every decision behind it.
+		return &jobs.Rejection{Reason: "the job is too large to be stored", Permanent: true}
+	}
 	if org := c.Organisations[spec.Organisation]; org != nil {
 		for i := range spec.Steps {
 			if !org.LimitAllows(spec.Steps[i].Need) {
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -117,8 +117,8 @@
 	r.term = leader.NewTerm(w.fence, gone)
 	r.Owner = New(ctx, Config{
 		Store: w.store, Workers: w.fleet, Control: w.control, Advice: w.advice, Codec: codec{}, Catalog: w.catalog.Load,
-		OnCatalog: func(*catalog.Catalog) {}, Name: fmt.Sprint("owner-", w.fence), MaxCallBytes: 1 << 20, Scope: tally.NoopScope,
-		Timing: Timing{MaxHold: 10 * time.Second, StopTime: 50 * time.Millisecond, Status: time.Minute, Upkeep: 200 * time.Millisecond, Notice: time.Second},
+		OnCatalog: func(*catalog.Catalog) {}, Name: fmt.Sprint("owner-", w.fence), MaxRecordBytes: 64 << 10, MaxCallBytes: 1 << 20, Scope: tally.NoopScope,
+		Timing: Timing{MaxHold: 10 * time.Second, StopTime: 50 * time.Millisecond, Status: time.Minute, Upkeep: 200 * time.Millisecond},
 		Log:    hclog.New(&hclog.LoggerOptions{Output: testWriter{w.t}, Level: hclog.Debug}),
 	}, r.term)
 	if err := r.Recover(); err != nil {
