Take the fence of the serving instance in the test of a lasting owner

It took its baseline from an instance that had not read the first record yet; 0 is never a fence. The baseline is now the fence of the instance that serves, and every instance must know that fence at the end, which is stricter.

--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -71,15 +71,30 @@
 		all = append(all, join(t, store, fmt.Sprint("n", i)))
 	}
 	await(t, "an owner serves", func() bool { return owners(all...) == 1 })
-	owner, _ := all[0].elector.Current()
+	fence := servingFence(all...)
 	for deadline := time.Now().Add(2 * expireAfter); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		if n := owners(all...); n != 1 {
 			t.Fatalf("%d owners", n)
 		}
 	}
-	if now, _ := all[0].elector.Current(); now.Fence != owner.Fence {
-		t.Errorf("the owner changed from fence %d to %d", owner.Fence, now.Fence)
+	if now := servingFence(all...); now != fence {
+		t.Errorf("the owner changed from fence %d to %d", fence, now)
 	}
+	for _, c := range all {
+		if owner, ok := c.elector.Current(); !ok || owner.Fence != fence {
+			t.Errorf("%s knows %+v, want fence %d", c.elector.Self.Name, owner, fence)
+		}
+	}
+}
+
+// servingFence returns the fence of the one that serves.
+func servingFence(all ...*candidate) int64 {
+	for _, c := range all {
+		if fence := c.serving.Load(); fence > 0 {
+			return fence
+		}
+	}
+	return 0
 }
 
 // Guards the hand-over: a stopping owner is replaced without waiting for its record to expire, with a higher fence.
