Order no start on a worker that was lost since the decision

Found on reading the change: a start decided before a loss was sent after it, with a lease, although the recorded loss tells a successor that nothing renews there. Its task could then start elsewhere while it ran. The start is now given up like any other that was not ordered.

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -188,6 +188,39 @@
 	}
 }
 
+// Guards the recorded loss of a worker: a start that was decided before the loss must not extend the lease that a successor
+// counts from that record.
+func TestLostWorkerGetsNoLeaseFromAStart(t *testing.T) {
+	w := newWorld(t)
+	silent := w.worker("w1", 0)
+	o := w.owner(true)
+	w.submit(o, newJob("a", 1))
+	w.await("the task runs", func() bool { return len(silent.Running()) == 1 })
+	silent.Silence(true)
+	lease := make(chan time.Time, 1)
+	var known *worker
+	w.await("the worker is lost", func() bool {
+		lost := make(chan bool, 1)
+		o.post(func() { known = o.workers["w1"]; lost <- !known.synced })
+		return <-lost
+	})
+	spec := newJob("b", 1)
+	o.post(func() {
+		j := &job{spec: spec, progress: workload.NewProgress(spec), fresh: true}
+		j.progress.Advance(spec, 0)
+		o.jobs["b"], o.active["b"] = j, j
+		o.prepare(j)
+		lease <- known.leaseUntil
+		o.start(j, workload.Ref{}, 1, known, "")
+	})
+	before := <-lease
+	w.await("the decision is recorded", func() bool { return w.status(o, "b").Begun })
+	o.post(func() { lease <- known.leaseUntil })
+	if after := <-lease; !after.Equal(before) {
+		t.Errorf("the lease was extended by %v", after.Sub(before))
+	}
+}
+
 // Guards against tasks that stay lost when a worker starts anew under its ID.
 func TestRebornWorkerLosesItsRuns(t *testing.T) {
 	w := newWorld(t)
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -85,7 +85,7 @@
 	if w.runs[p.name] != p {
 		return // the worker started anew meanwhile
 	}
-	if p.stopping || !o.leading() {
+	if p.stopping || !w.synced || !o.leading() {
 		o.lose(w, p, "it was not ordered")
 		return
 	}
