--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -53,11 +53,6 @@
 	return Resources{r.CPU - s.CPU, r.MemoryMB - s.MemoryMB, r.GPU - s.GPU}
 }
 
-// Times returns r taken n times.
-func (r Resources) Times(n int64) Resources {
-	return Resources{r.CPU * n, r.MemoryMB * n, r.GPU * n}
-}
-
 // Within reports whether r fits into room.
 func (r Resources) Within(room Resources) bool {
 	return r.CPU <= room.CPU && r.MemoryMB <= room.MemoryMB && r.GPU <= room.GPU
@@ -141,9 +136,3 @@
 
 // KeyOwner returns the organisation that holds a key, or nil.
 func (c *Catalog) KeyOwner(key string) *Organisation { return c.keys[key] }
-
-// Serves reports whether a queue still sends work to the pool.
-func (c *Catalog) Serves(queue, pool string) bool {
-	q := c.Queues[queue]
-	return q != nil && q.Pool == pool
-}
--- a/internal/owner/advise_test.go
+++ b/internal/owner/advise_test.go
@@ -39,14 +39,19 @@
 	return answer, nil
 }
 
-// Guards advised queues: tasks start only where a ticket allows it, and a refused call for advice is made again.
-func TestAdvisedQueueStartsWhereItIsAllowed(t *testing.T) {
-	w := newWorld(t)
+// adviseQueue puts a configuration in force in which the queue needs tickets.
+func (w *world) adviseQueue() {
 	old := w.catalog.Load()
 	q := *old.Queues["queue"]
 	q.Advised = true
 	w.catalog.Store(catalog.New(2, []*catalog.Queue{&q}, []*catalog.Pool{old.Pools[testPool]},
 		[]*catalog.Organisation{old.Organisations["org"]}, catalog.HTTPLimits{}))
+}
+
+// Guards advised queues: tasks start only where a ticket allows it, and a refused call for advice is made again.
+func TestAdvisedQueueStartsWhereItIsAllowed(t *testing.T) {
+	w := newWorld(t)
+	w.adviseQueue()
 	for _, id := range []string{"w1", "w2", "w3"} {
 		w.worker(id, 20*time.Millisecond)
 	}
@@ -64,11 +69,7 @@
 // Guards against a ticket that a worker no longer accepts: advice is asked for again.
 func TestRefusedTicketIsAskedForAgain(t *testing.T) {
 	w := newWorld(t)
-	old := w.catalog.Load()
-	q := *old.Queues["queue"]
-	q.Advised = true
-	w.catalog.Store(catalog.New(2, []*catalog.Queue{&q}, []*catalog.Pool{old.Pools[testPool]},
-		[]*catalog.Organisation{old.Organisations["org"]}, catalog.HTTPLimits{}))
+	w.adviseQueue()
 	worker := w.worker("w1", 20*time.Millisecond)
 	a := &adviser{allowed: "w1"}
 	w.advice = a
--- a/internal/topic/follow.go
+++ b/internal/topic/follow.go
@@ -23,8 +23,6 @@
 	OnRecords func(records []Record, end int64)
 	// OnError receives failed calls.
 	OnError func(err error)
-	// Resync, if set, is how often the newest records are read again.
-	Resync time.Duration
 }
 
 // Backoff of a follower after a failed call, doubled up to the maximum. The minimum lets the first repetition arrive
@@ -40,10 +38,9 @@
 func (f *Follower) Run(ctx context.Context) {
 	next := int64(-1)
 	backoff := followMinBackoff
-	var synced time.Time
 	for ctx.Err() == nil {
 		began := time.Now()
-		err := f.step(ctx, &next, &synced)
+		err := f.step(ctx, &next)
 		if err != nil {
 			if ctx.Err() != nil {
 				return
@@ -66,14 +63,13 @@
 	}
 }
 
-func (f *Follower) step(ctx context.Context, next *int64, synced *time.Time) error {
-	if *next < 0 || f.Resync > 0 && time.Since(*synced) > f.Resync {
+func (f *Follower) step(ctx context.Context, next *int64) error {
+	if *next < 0 {
 		records, end, err := ReadNewest(ctx, f.Store, f.Name)
 		if err != nil {
 			return err
 		}
 		*next = end
-		*synced = time.Now()
 		f.OnNewest(records)
 		return nil
 	}
