--- a/design/admin.go
+++ b/design/admin.go
@@ -19,25 +19,6 @@
 	"unknown":      StatusGatewayTimeout,
 }
 
-// Verdict is the agreed decision about a proposal.
-var Verdict = Type("Verdict", func() {
-	Attribute("id", String, "Record ID; asking again with it gives the same verdict")
-	Attribute("outcome", String, "Decision", func() { Enum("accepted", "refused", "conflict") })
-	Attribute("version", UInt64, "Configuration version after the record")
-	Attribute("offset", UInt64, "Log offset of the record")
-	Attribute("findings", ArrayOf(Finding), "Reasons of a refusal")
-	Attribute("members", ArrayOf(MemberProgress), "When each entry instance had it in force, if asked to wait")
-	Required("id", "outcome", "version", "offset")
-})
-
-// MemberProgress tells when an entry instance had a record in force.
-var MemberProgress = Type("MemberProgress", func() {
-	Attribute("member", String, "Entry instance")
-	Attribute("in_force", Boolean, "Whether the entry instance has applied the record")
-	Attribute("after_ms", Int64, "Time in milliseconds from the request until the entry instance had applied the record")
-	Required("member", "in_force", "after_ms")
-})
-
 func adminPayload(more func()) func() {
 	return func() {
 		Attribute("authorization", String, "Bearer and the operator token")
@@ -47,48 +28,46 @@
 	}
 }
 
-func proposal(more func()) func() {
-	return adminPayload(func() {
-		Attribute("record_id", String, "Idempotency key of the proposal; absent: a new one")
-		more()
-	})
-}
-
 // adminHTTP adds the headers that every administration call has.
 func adminHTTP() { Header("authorization:Authorization") }
 
-func proposalHTTP() {
-	adminHTTP()
-	Header("record_id:Idempotency-Key")
-}
+// Config is a version of the configuration in the format of the platform.
+var Config = Type("Config", func() {
+	Attribute("version", Int64, "Configuration version")
+	Attribute("document", Any, "Configuration document")
+	Required("version", "document")
+})
 
-// InstanceView is an instance as the operators see it.
-var InstanceView = Type("InstanceView", func() {
+// WorkerView is a worker as the operators see it.
+var WorkerView = Type("WorkerView", func() {
 	Attribute("id", String)
 	Attribute("pool", String)
 	Attribute("zone", String, "Availability zone")
 	Attribute("rack", String)
-	Attribute("phase", String)
-	Attribute("healthy", Boolean)
-	Attribute("wave", String)
-	Attribute("maintained_in", String)
-	Required("id", "pool", "zone", "rack", "phase", "healthy")
+	Attribute("instance", String, "Instance that the worker lives on")
+	Attribute("phase", String, "Whether the worker gets new work", func() { Enum("in-service", "draining", "lost") })
+	Attribute("runs", Int, "Runs that are placed there")
+	Attribute("used_cores", Float64, "Cores that the runs take")
+	Attribute("cores", Float64, "Cores that the worker has")
+	Required("id", "pool", "zone", "rack", "instance", "phase", "runs", "used_cores", "cores")
 })
 
-// WaveView is a maintenance wave or a move.
+// WaveView is a maintenance wave.
 var WaveView = Type("WaveView", func() {
-	Attribute("wave", String)
-	Attribute("action", String)
-	Attribute("pools", ArrayOf(String))
-	Attribute("to", String)
-	Attribute("status", String)
-	Attribute("reason", String)
-	Attribute("total", Int, "Instances of the wave")
-	Attribute("done", Int, "Instances that are back in service")
-	Attribute("out", Int, "Instances that are out of service for the wave")
-	Attribute("order", ArrayOf(String), "Instances that are still to be taken out, in planned order, for a dry run")
-	Attribute("expected_end", String, "Expected end (RFC 3339) from the pace so far, once an instance has returned", func() { Format(FormatDateTime) })
-	Required("wave", "action", "pools", "status", "total", "done", "out")
+	Attribute("number", Int64)
+	Attribute("status", String, func() { Enum("active", "completed") })
+	Attribute("total", Int, "Instances that the wave asks for")
+	Attribute("begun", Int, "Instances whose upkeep has begun or is over")
+	Required("number", "status", "total", "begun")
+})
+
+// FleetView is what the owner believes of workers and waves.
+var FleetView = Type("FleetView", func() {
+	Attribute("owner", String, "Entry instance that decides")
+	Attribute("term", Int64, "Number that rises with every change of the owner")
+	Attribute("workers", ArrayOf(WorkerView))
+	Attribute("waves", ArrayOf(WaveView))
+	Required("owner", "term", "workers", "waves")
 })
 
 var _ = Service("admin", func() {
@@ -97,143 +76,51 @@
 
 	Method("get_config", func() {
 		Payload(adminPayload(nil))
-		Result(func() {
-			Attribute("version", UInt64, "Configuration version")
-			Attribute("document", Any, "Configuration document")
-			Required("version", "document")
-		})
+		Result(Config)
 		HTTP(func() { GET("/config"); adminHTTP(); Response(StatusOK) })
 	})
 	Method("patch_config", func() {
 		Description("Patches the configuration. The body is a JSON merge patch or, with the media type application/json-patch+json, a JSON patch.")
-		Payload(proposal(func() {
+		Payload(adminPayload(func() {
 			Attribute("if_match", String, "Configuration version that the patch was made for")
 			Attribute("content_type", String)
-			Attribute("wait", Boolean, "Wait until every entry instance has the change in force", func() { Default(false) })
+			Required("if_match")
 		}))
-		Result(Verdict)
+		Result(Config)
 		HTTP(func() {
 			PATCH("/config")
-			proposalHTTP()
+			adminHTTP()
 			Header("if_match:If-Match")
 			Header("content_type:Content-Type")
-			Param("wait")
 			SkipRequestBodyEncodeDecode()
 			Response(StatusOK)
 		})
 	})
-	Method("config_history", func() {
-		Payload(adminPayload(nil))
-		Result(ArrayOf(Change))
-		HTTP(func() { GET("/config/history"); adminHTTP(); Response(StatusOK) })
-	})
-	Method("verdict", func() {
-		Description("Returns the verdict of a record ID, for a caller that did not learn it.")
-		Payload(adminPayload(func() {
-			Attribute("id", String)
-			Required("id")
-		}))
-		Result(Verdict)
-		HTTP(func() { GET("/verdicts/{id}"); adminHTTP(); Response(StatusOK) })
-	})
-	Method("issue_key", func() {
-		Description("Issues a key of a team. The key itself is shown only in this answer.")
-		Payload(proposal(func() {
-			Attribute("team", String)
-			Required("team")
-		}))
-		Result(func() {
-			Attribute("key_id", String)
-			Attribute("key", String, "The secret that the team presents")
-			Attribute("verdict", Verdict)
-			Required("key_id", "key", "verdict")
-		})
-		HTTP(func() { POST("/keys"); proposalHTTP(); Response(StatusCreated) })
-	})
-	Method("withdraw_key", func() {
-		Payload(proposal(func() {
-			Attribute("key_id", String)
-			Attribute("wait", Boolean, "Wait until every entry instance has the change in force", func() { Default(false) })
-			Required("key_id")
-		}))
-		Result(Verdict)
-		HTTP(func() { DELETE("/keys/{key_id}"); proposalHTTP(); Param("wait"); Response(StatusOK) })
-	})
-	Method("list_keys", func() {
-		Payload(adminPayload(nil))
-		Result(ArrayOf(KeyView))
-		HTTP(func() { GET("/keys"); adminHTTP(); Response(StatusOK) })
-	})
-	Method("list_instances", func() {
+	Method("show_fleet", func() {
+		Description("Returns the owner, the workers and the waves.")
 		Payload(adminPayload(nil))
-		Result(ArrayOf(InstanceView))
-		HTTP(func() { GET("/instances"); adminHTTP(); Response(StatusOK) })
-	})
-	Method("list_members", func() {
-		Payload(adminPayload(nil))
-		Result(ArrayOf(MemberView))
-		HTTP(func() { GET("/members"); adminHTTP(); Response(StatusOK) })
+		Result(FleetView)
+		HTTP(func() { GET("/fleet"); adminHTTP(); Response(StatusOK) })
 	})
 	Method("start_wave", func() {
-		Description("Starts a maintenance wave or a move. A dry run returns the planned order and changes nothing.")
-		Payload(proposal(func() {
-			Attribute("wave", String)
-			Attribute("action", String, func() { Enum("reboot", "move") })
-			Attribute("pools", ArrayOf(String))
-			Attribute("instances", ArrayOf(String))
-			Attribute("to", String)
-			Attribute("max_parallel", Int, func() { Default(0) })
-			Attribute("dry_run", Boolean, func() { Default(false) })
-			Required("wave", "action", "pools")
-		}))
-		Result(WaveView)
-		HTTP(func() { POST("/waves"); proposalHTTP(); Response(StatusCreated) })
-	})
-	Method("list_waves", func() {
-		Payload(adminPayload(nil))
-		Result(ArrayOf(WaveView))
-		HTTP(func() { GET("/waves"); adminHTTP(); Response(StatusOK) })
-	})
-	Method("change_wave", func() {
-		Payload(proposal(func() {
-			Attribute("wave", String)
-			Attribute("change", String, func() { Enum("pause", "resume", "abort") })
-			Attribute("reason", String)
-			Required("wave", "change")
+		Description("Starts a maintenance wave.")
+		Payload(adminPayload(func() {
+			Attribute("number", Int64, "Number that no other wave has", func() { Minimum(1) })
+			Attribute("instances", ArrayOf(String), func() { MinLength(1) })
+			Attribute("at_once", Int, "Instances that may be down for the wave at a time", func() {
+				Minimum(1)
+				Default(1)
+			})
+			Attribute("deadline_s", Float64, "Time in seconds in which the wave is to be over", func() { Default(0) })
+			Required("number", "instances")
 		}))
 		Result(WaveView)
-		HTTP(func() { POST("/waves/{wave}/{change}"); proposalHTTP(); Param("reason"); Response(StatusOK) })
+		HTTP(func() { POST("/waves"); adminHTTP(); Response(StatusCreated) })
 	})
 	Method("report_burn", func() {
-		Description("Reports the error budgets and burn rates of the service-level objectives over all entry instances.")
+		Description("Reports the error budgets and burn rates of the service-level objectives as this entry instance counted them.")
 		Payload(adminPayload(nil))
 		Result(BurnReport)
 		HTTP(func() { GET("/burn"); adminHTTP(); Response(StatusOK) })
 	})
 })
-
-// Change is one entry of the configuration history.
-var Change = Type("Change", func() {
-	Attribute("version", UInt64)
-	Attribute("offset", UInt64)
-	Attribute("record", String)
-	Attribute("author", String)
-	Required("version", "offset", "record")
-})
-
-// KeyView is an issued key without its secret.
-var KeyView = Type("KeyView", func() {
-	Attribute("key_id", String)
-	Attribute("team", String)
-	Attribute("issued", UInt64, "Log offset of the record that issued the key")
-	Required("key_id", "team", "issued")
-})
-
-// MemberView is an entry instance in the agreed membership.
-var MemberView = Type("MemberView", func() {
-	Attribute("name", String)
-	Attribute("incarnation", UInt64)
-	Attribute("address", String)
-	Attribute("zone", String, "Availability zone")
-	Required("name", "incarnation", "address", "zone")
-})
--- a/design/burn.go
+++ b/design/burn.go
@@ -8,23 +8,22 @@
 var BurnReport = Type("BurnReport", func() {
 	Attribute("at", String, "Time of the report (RFC 3339)", func() { Format(FormatDateTime) })
 	Attribute("members", ArrayOf(String), "Entry instances whose counters are included")
-	Attribute("missing", ArrayOf(String), "Entry instances that did not answer; their requests are not counted")
 	Attribute("objectives", ArrayOf(BurnObjective))
-	Required("at", "members", "missing", "objectives")
+	Required("at", "members", "objectives")
 })
 
 // BurnObjective is the burn of one objective.
 var BurnObjective = Type("BurnObjective", func() {
 	Attribute("name", String)
-	Attribute("pool", String, "Pool that the objective covers, or empty")
-	Attribute("team", String, "Team that the objective covers, or empty")
+	Attribute("queue", String, "Queue that the objective covers, or empty")
+	Attribute("organisation", String, "Organisation that the objective covers, or empty")
 	Attribute("target", Float64, "Fraction of good requests, between 0 and 1")
 	Attribute("latency_ms", Int64, "Time in milliseconds within which a request counts as good")
-	Attribute("window_hours", Int, "Window of the error budget in hours")
+	Attribute("window_hours", Int64, "Window of the error budget in hours")
 	Attribute("budget_left", Float64, "Unused fraction of the error budget; negative when it is overspent")
 	Attribute("windows", ArrayOf(BurnWindow), "Burn per window, shortest first; the last is the objective's window")
 	Attribute("history", ArrayOf(BurnPoint), "Parts of the last 24 hours, oldest first")
-	Required("name", "pool", "team", "target", "latency_ms", "window_hours", "budget_left", "windows", "history")
+	Required("name", "queue", "organisation", "target", "latency_ms", "window_hours", "budget_left", "windows", "history")
 })
 
 // BurnWindow counts the requests of a sliding window.
--- a/design/design.go
+++ b/design/design.go
@@ -1,4 +1,4 @@
-// Package design describes the HTTP APIs for callers and operators in the goa language. Package gen is generated
+// Package design describes the HTTP APIs for clients and operators in the goa language. Package gen is generated
 // from it by "go tool goa gen github.com/pollenford/pollenford/design".
 package design
 
@@ -8,7 +8,7 @@
 
 var _ = API("pollenford", func() {
 	Title("pollenford")
-	Description("Fleet capacity and maintenance manager: requests of teams, and administration by operators.")
+	Description("Fleet capacity and maintenance manager: jobs of organisations, and administration by operators.")
 	Version("1")
 	HTTP(func() { Consumes("application/json") })
 })
@@ -22,8 +22,9 @@
 	Attribute("detail", String, "What happened to this request")
 	Attribute("outcome", String, "What is known about the work", func() { Enum("not-run", "failed", "unknown") })
 	Attribute("reason", String, "Stable code of the reason")
-	Attribute("request_id", String, "Request ID")
-	Attribute("current_version", UInt64, "Configuration version in force, for conflicts")
+	Attribute("job_id", String, "Job ID")
+	Attribute("retry_after", Int, "Time in seconds after which another attempt may succeed")
+	Attribute("current_version", Int64, "Configuration version in force, for conflicts")
 	Attribute("findings", ArrayOf(Finding), "Everything that was found wrong")
 	Required("name", "type", "title", "status", "detail")
 })
@@ -44,7 +45,10 @@
 	HTTP(func() {
 		Path(path)
 		for _, name := range sortedNames(names) {
-			Response(name, names[name], func() { ContentType("application/problem+json") })
+			Response(name, names[name], func() {
+				ContentType("application/problem+json")
+				Header("retry_after:Retry-After")
+			})
 		}
 	})
 }
--- a/design/requests.go
+++ b/design/requests.go
@@ -7,7 +7,6 @@
 var requestProblems = map[string]int{
 	"bad_request":  StatusBadRequest,
 	"unauthorized": StatusUnauthorized,
-	"forbidden":    StatusForbidden,
 	"not_found":    StatusNotFound,
 	"timeout":      StatusRequestTimeout,
 	"conflict":     StatusConflict,
@@ -21,19 +20,31 @@
 
 func requestPayload() {
 	Attribute("queue", String, "Queue name")
-	Attribute("authorization", String, "Bearer and the team's key; absent for open queues")
-	Attribute("idempotency_key", String, "Caller's key for a request that must run at most once", func() { MaxLength(255) })
-	Attribute("idempotent", Boolean, "Whether the request may run more than once", func() { Default(false) })
-	Attribute("deadline_ms", Int64, "Time in milliseconds after which the answer is useless; absent: the queue's default")
-	Attribute("priority", String, "Urgent work is served first within a team's share", func() {
-		Enum("urgent", "normal")
-		Default("normal")
+	Attribute("authorization", String, "Bearer and the organisation's key; absent for open queues")
+	Attribute("idempotency_key", String, "Caller's key: all requests with it are one job", func() { MaxLength(255) })
+	Attribute("idempotent", Boolean, "Whether the work may run more than once", func() { Default(false) })
+	Attribute("resumable", Boolean, "Whether a run saves its progress and a later one resumes from it", func() { Default(false) })
+	Attribute("deadline_ms", Int64, "Time in milliseconds after which the answer is useless", func() {
+		Minimum(1)
+		Maximum(600_000)
+		Default(30_000)
+	})
+	Attribute("estimate_ms", Int64, "Estimated run time in milliseconds", func() {
+		Minimum(0)
+		Default(0)
+	})
+	Attribute("cores", Float64, "Processor cores that the work takes", func() {
+		Minimum(0)
+		Default(1)
+	})
+	Attribute("memory_mb", Int64, "Memory in megabytes that the work takes", func() {
+		Minimum(0)
+		Default(0)
+	})
+	Attribute("accelerators", Int64, "Accelerators that the work takes", func() {
+		Minimum(0)
+		Default(0)
 	})
-	Attribute("preemptible", Boolean, "Whether the work may be checkpointed or stopped for a team below its share", func() { Default(false) })
-	Attribute("cores", Int, "Declared processor cores", func() { Default(0) })
-	Attribute("memory_gb", Int, "Declared memory in gigabytes", func() { Default(0) })
-	Attribute("accelerators", Int, "Declared accelerators", func() { Default(0) })
-	Attribute("content_type", String, "Media type of the body")
 	Required("queue")
 }
 
@@ -41,59 +52,61 @@
 	Header("authorization:Authorization")
 	Header("idempotency_key:Idempotency-Key")
 	Header("idempotent:Pollenford-Idempotent")
+	Header("resumable:Pollenford-Resumable")
 	Header("deadline_ms:Pollenford-Deadline-Ms")
-	Header("priority:Pollenford-Priority")
-	Header("preemptible:Pollenford-Preemptible")
+	Header("estimate_ms:Pollenford-Estimate-Ms")
 	Header("cores:Pollenford-Cores")
-	Header("memory_gb:Pollenford-Memory-Gb")
+	Header("memory_mb:Pollenford-Memory-Mb")
 	Header("accelerators:Pollenford-Accelerators")
-	Header("content_type:Content-Type")
 }
 
-// Answer is the backend server's answer; its body is streamed apart from it.
+// Answer is what the work left at its end; its body is streamed apart from it.
 var Answer = Type("Answer", func() {
-	Attribute("request_id", String, "Request ID")
+	Attribute("job_id", String, "Job ID")
 	Attribute("content_type", String, "Media type of the answer")
 	Attribute("length", Int64, "Length of the answer in bytes")
-	Required("request_id", "content_type", "length")
+	Required("job_id", "content_type", "length")
 })
 
-// Job is long-running work that was submitted.
+func answerResponse() {
+	SkipResponseBodyEncodeDecode()
+	Response(StatusOK, func() {
+		Header("job_id:Pollenford-Job")
+		Header("content_type:Content-Type")
+		Header("length:Content-Length")
+	})
+}
+
+// Job is the state of a job of one task.
 var Job = Type("Job", func() {
 	Attribute("id", String, "Job ID")
 	Attribute("status", String, "State of the job", func() {
-		Enum("queued", "running", "done", "cancelled", "failed", "unknown")
+		Enum("queued", "running", "done", "cancelled", "failed")
 	})
 	Attribute("outcome", String, "What is known about the work when it has no answer", func() { Enum("not-run", "failed", "unknown") })
-	Attribute("detail", String, "Why the job has no answer")
 	Required("id", "status")
 })
 
 func jobPayload() {
 	Attribute("queue", String, "Queue name")
 	Attribute("id", String, "Job ID")
-	Attribute("authorization", String, "Bearer and the team's key")
+	Attribute("authorization", String, "Bearer and the organisation's key")
 	Required("queue", "id")
 }
 
 var _ = Service("requests", func() {
-	Description("Work of teams: requests that are answered at once and jobs that are asked after.")
+	Description("Work of organisations: requests that are answered at once and jobs that are asked after.")
 	problems("/v1/queues/{queue}", requestProblems)
 
 	Method("send", func() {
-		Description("Runs a request and returns the backend server's whole answer.")
+		Description("Runs a request as a job of one task and returns what the work left at its end.")
 		Payload(requestPayload)
 		Result(Answer)
 		HTTP(func() {
 			POST("/requests")
 			requestHeaders()
 			SkipRequestBodyEncodeDecode()
-			SkipResponseBodyEncodeDecode()
-			Response(StatusOK, func() {
-				Header("request_id:Pollenford-Request")
-				Header("content_type:Content-Type")
-				Header("length:Content-Length")
-			})
+			answerResponse()
 		})
 	})
 	Method("submit", func() {
@@ -118,18 +131,13 @@
 		})
 	})
 	Method("job_answer", func() {
-		Description("Returns the backend server's whole answer of a finished job.")
+		Description("Returns what the work of a finished job left.")
 		Payload(jobPayload)
 		Result(Answer)
 		HTTP(func() {
 			GET("/jobs/{id}/answer")
 			Header("authorization:Authorization")
-			SkipResponseBodyEncodeDecode()
-			Response(StatusOK, func() {
-				Header("request_id:Pollenford-Request")
-				Header("content_type:Content-Type")
-				Header("length:Content-Length")
-			})
+			answerResponse()
 		})
 	})
 	Method("cancel", func() {
--- a/gen/admin/client.go
+++ b/gen/admin/client.go
@@ -16,37 +16,21 @@
 
 // Client is the "admin" service client.
 type Client struct {
-	GetConfigEndpoint       goa.Endpoint
-	PatchConfigEndpoint     goa.Endpoint
-	ConfigHistoryEndpoint   goa.Endpoint
-	VerdictEndpointEndpoint goa.Endpoint
-	IssueKeyEndpoint        goa.Endpoint
-	WithdrawKeyEndpoint     goa.Endpoint
-	ListKeysEndpoint        goa.Endpoint
-	ListInstancesEndpoint   goa.Endpoint
-	ListMembersEndpoint     goa.Endpoint
-	StartWaveEndpoint       goa.Endpoint
-	ListWavesEndpoint       goa.Endpoint
-	ChangeWaveEndpoint      goa.Endpoint
-	ReportBurnEndpoint      goa.Endpoint
+	GetConfigEndpoint   goa.Endpoint
+	PatchConfigEndpoint goa.Endpoint
+	ShowFleetEndpoint   goa.Endpoint
+	StartWaveEndpoint   goa.Endpoint
+	ReportBurnEndpoint  goa.Endpoint
 }
 
 // NewClient initializes a "admin" service client given the endpoints.
-func NewClient(getConfig, patchConfig, configHistory, verdictEndpoint, issueKey, withdrawKey, listKeys, listInstances, listMembers, startWave, listWaves, changeWave, reportBurn goa.Endpoint) *Client {
+func NewClient(getConfig, patchConfig, showFleet, startWave, reportBurn goa.Endpoint) *Client {
 	return &Client{
-		GetConfigEndpoint:       getConfig,
-		PatchConfigEndpoint:     patchConfig,
-		ConfigHistoryEndpoint:   configHistory,
-		VerdictEndpointEndpoint: verdictEndpoint,
-		IssueKeyEndpoint:        issueKey,
-		WithdrawKeyEndpoint:     withdrawKey,
-		ListKeysEndpoint:        listKeys,
-		ListInstancesEndpoint:   listInstances,
-		ListMembersEndpoint:     listMembers,
-		StartWaveEndpoint:       startWave,
-		ListWavesEndpoint:       listWaves,
-		ChangeWaveEndpoint:      changeWave,
-		ReportBurnEndpoint:      reportBurn,
+		GetConfigEndpoint:   getConfig,
+		PatchConfigEndpoint: patchConfig,
+		ShowFleetEndpoint:   showFleet,
+		StartWaveEndpoint:   startWave,
+		ReportBurnEndpoint:  reportBurn,
 	}
 }
 
@@ -60,13 +44,13 @@
 //   - "unavailable" (type *Problem)
 //   - "unknown" (type *Problem)
 //   - error: internal error
-func (c *Client) GetConfig(ctx context.Context, p *GetConfigPayload) (res *GetConfigResult, err error) {
+func (c *Client) GetConfig(ctx context.Context, p *GetConfigPayload) (res *Config, err error) {
 	var ires any
 	ires, err = c.GetConfigEndpoint(ctx, p)
 	if err != nil {
 		return
 	}
-	return ires.(*GetConfigResult), nil
+	return ires.(*Config), nil
 }
 
 // PatchConfig calls the "patch_config" endpoint of the "admin" service.
@@ -79,17 +63,17 @@
 //   - "unavailable" (type *Problem)
 //   - "unknown" (type *Problem)
 //   - error: internal error
-func (c *Client) PatchConfig(ctx context.Context, p *PatchConfigPayload, req io.ReadCloser) (res *Verdict, err error) {
+func (c *Client) PatchConfig(ctx context.Context, p *PatchConfigPayload, req io.ReadCloser) (res *Config, err error) {
 	var ires any
 	ires, err = c.PatchConfigEndpoint(ctx, &PatchConfigRequestData{Payload: p, Body: req})
 	if err != nil {
 		return
 	}
-	return ires.(*Verdict), nil
+	return ires.(*Config), nil
 }
 
-// ConfigHistory calls the "config_history" endpoint of the "admin" service.
-// ConfigHistory may return the following errors:
+// ShowFleet calls the "show_fleet" endpoint of the "admin" service.
+// ShowFleet may return the following errors:
 //   - "bad_request" (type *Problem)
 //   - "conflict" (type *Problem)
 //   - "not_found" (type *Problem)
@@ -98,127 +82,13 @@
 //   - "unavailable" (type *Problem)
 //   - "unknown" (type *Problem)
 //   - error: internal error
-func (c *Client) ConfigHistory(ctx context.Context, p *ConfigHistoryPayload) (res []*Change, err error) {
+func (c *Client) ShowFleet(ctx context.Context, p *ShowFleetPayload) (res *FleetView, err error) {
 	var ires any
-	ires, err = c.ConfigHistoryEndpoint(ctx, p)
+	ires, err = c.ShowFleetEndpoint(ctx, p)
 	if err != nil {
 		return
 	}
-	return ires.([]*Change), nil
-}
-
-// VerdictEndpoint calls the "verdict" endpoint of the "admin" service.
-// VerdictEndpoint may return the following errors:
-//   - "bad_request" (type *Problem)
-//   - "conflict" (type *Problem)
-//   - "not_found" (type *Problem)
-//   - "refused" (type *Problem)
-//   - "unauthorized" (type *Problem)
-//   - "unavailable" (type *Problem)
-//   - "unknown" (type *Problem)
-//   - error: internal error
-func (c *Client) VerdictEndpoint(ctx context.Context, p *VerdictPayload) (res *Verdict, err error) {
-	var ires any
-	ires, err = c.VerdictEndpointEndpoint(ctx, p)
-	if err != nil {
-		return
-	}
-	return ires.(*Verdict), nil
-}
-
-// IssueKey calls the "issue_key" endpoint of the "admin" service.
-// IssueKey may return the following errors:
-//   - "bad_request" (type *Problem)
-//   - "conflict" (type *Problem)
-//   - "not_found" (type *Problem)
-//   - "refused" (type *Problem)
-//   - "unauthorized" (type *Problem)
-//   - "unavailable" (type *Problem)
-//   - "unknown" (type *Problem)
-//   - error: internal error
-func (c *Client) IssueKey(ctx context.Context, p *IssueKeyPayload) (res *IssueKeyResult, err error) {
-	var ires any
-	ires, err = c.IssueKeyEndpoint(ctx, p)
-	if err != nil {
-		return
-	}
-	return ires.(*IssueKeyResult), nil
-}
-
-// WithdrawKey calls the "withdraw_key" endpoint of the "admin" service.
-// WithdrawKey may return the following errors:
-//   - "bad_request" (type *Problem)
-//   - "conflict" (type *Problem)
-//   - "not_found" (type *Problem)
-//   - "refused" (type *Problem)
-//   - "unauthorized" (type *Problem)
-//   - "unavailable" (type *Problem)
-//   - "unknown" (type *Problem)
-//   - error: internal error
-func (c *Client) WithdrawKey(ctx context.Context, p *WithdrawKeyPayload) (res *Verdict, err error) {
-	var ires any
-	ires, err = c.WithdrawKeyEndpoint(ctx, p)
-	if err != nil {
-		return
-	}
-	return ires.(*Verdict), nil
-}
-
-// ListKeys calls the "list_keys" endpoint of the "admin" service.
-// ListKeys may return the following errors:
-//   - "bad_request" (type *Problem)
-//   - "conflict" (type *Problem)
-//   - "not_found" (type *Problem)
-//   - "refused" (type *Problem)
-//   - "unauthorized" (type *Problem)
-//   - "unavailable" (type *Problem)
-//   - "unknown" (type *Problem)
-//   - error: internal error
-func (c *Client) ListKeys(ctx context.Context, p *ListKeysPayload) (res []*KeyView, err error) {
-	var ires any
-	ires, err = c.ListKeysEndpoint(ctx, p)
-	if err != nil {
-		return
-	}
-	return ires.([]*KeyView), nil
-}
-
-// ListInstances calls the "list_instances" endpoint of the "admin" service.
-// ListInstances may return the following errors:
-//   - "bad_request" (type *Problem)
-//   - "conflict" (type *Problem)
-//   - "not_found" (type *Problem)
-//   - "refused" (type *Problem)
-//   - "unauthorized" (type *Problem)
-//   - "unavailable" (type *Problem)
-//   - "unknown" (type *Problem)
-//   - error: internal error
-func (c *Client) ListInstances(ctx context.Context, p *ListInstancesPayload) (res []*InstanceView, err error) {
-	var ires any
-	ires, err = c.ListInstancesEndpoint(ctx, p)
-	if err != nil {
-		return
-	}
-	return ires.([]*InstanceView), nil
-}
-
-// ListMembers calls the "list_members" endpoint of the "admin" service.
-// ListMembers may return the following errors:
-//   - "bad_request" (type *Problem)
-//   - "conflict" (type *Problem)
-//   - "not_found" (type *Problem)
-//   - "refused" (type *Problem)
-//   - "unauthorized" (type *Problem)
-//   - "unavailable" (type *Problem)
-//   - "unknown" (type *Problem)
-//   - error: internal error
-func (c *Client) ListMembers(ctx context.Context, p *ListMembersPayload) (res []*MemberView, err error) {
-	var ires any
-	ires, err = c.ListMembersEndpoint(ctx, p)
-	if err != nil {
-		return
-	}
-	return ires.([]*MemberView), nil
+	return ires.(*FleetView), nil
 }
 
 // StartWave calls the "start_wave" endpoint of the "admin" service.
@@ -240,44 +110,6 @@
 	return ires.(*WaveView), nil
 }
 
-// ListWaves calls the "list_waves" endpoint of the "admin" service.
-// ListWaves may return the following errors:
-//   - "bad_request" (type *Problem)
-//   - "conflict" (type *Problem)
-//   - "not_found" (type *Problem)
-//   - "refused" (type *Problem)
-//   - "unauthorized" (type *Problem)
-//   - "unavailable" (type *Problem)
-//   - "unknown" (type *Problem)
-//   - error: internal error
-func (c *Client) ListWaves(ctx context.Context, p *ListWavesPayload) (res []*WaveView, err error) {
-	var ires any
-	ires, err = c.ListWavesEndpoint(ctx, p)
-	if err != nil {
-		return
-	}
-	return ires.([]*WaveView), nil
-}
-
-// ChangeWave calls the "change_wave" endpoint of the "admin" service.
-// ChangeWave may return the following errors:
-//   - "bad_request" (type *Problem)
-//   - "conflict" (type *Problem)
-//   - "not_found" (type *Problem)
-//   - "refused" (type *Problem)
-//   - "unauthorized" (type *Problem)
-//   - "unavailable" (type *Problem)
-//   - "unknown" (type *Problem)
-//   - error: internal error
-func (c *Client) ChangeWave(ctx context.Context, p *ChangeWavePayload) (res *WaveView, err error) {
-	var ires any
-	ires, err = c.ChangeWaveEndpoint(ctx, p)
-	if err != nil {
-		return
-	}
-	return ires.(*WaveView), nil
-}
-
 // ReportBurn calls the "report_burn" endpoint of the "admin" service.
 // ReportBurn may return the following errors:
 //   - "bad_request" (type *Problem)
--- a/gen/admin/endpoints.go
+++ b/gen/admin/endpoints.go
@@ -16,19 +16,11 @@
 
 // Endpoints wraps the "admin" service endpoints.
 type Endpoints struct {
-	GetConfig       goa.Endpoint
-	PatchConfig     goa.Endpoint
-	ConfigHistory   goa.Endpoint
-	VerdictEndpoint goa.Endpoint
-	IssueKey        goa.Endpoint
-	WithdrawKey     goa.Endpoint
-	ListKeys        goa.Endpoint
-	ListInstances   goa.Endpoint
-	ListMembers     goa.Endpoint
-	StartWave       goa.Endpoint
-	ListWaves       goa.Endpoint
-	ChangeWave      goa.Endpoint
-	ReportBurn      goa.Endpoint
+	GetConfig   goa.Endpoint
+	PatchConfig goa.Endpoint
+	ShowFleet   goa.Endpoint
+	StartWave   goa.Endpoint
+	ReportBurn  goa.Endpoint
 }
 
 // PatchConfigRequestData holds both the payload and the HTTP request body
@@ -43,19 +35,11 @@
 // NewEndpoints wraps the methods of the "admin" service with endpoints.
 func NewEndpoints(s Service) *Endpoints {
 	return &Endpoints{
-		GetConfig:       NewGetConfigEndpoint(s),
-		PatchConfig:     NewPatchConfigEndpoint(s),
-		ConfigHistory:   NewConfigHistoryEndpoint(s),
-		VerdictEndpoint: NewVerdictEndpointEndpoint(s),
-		IssueKey:        NewIssueKeyEndpoint(s),
-		WithdrawKey:     NewWithdrawKeyEndpoint(s),
-		ListKeys:        NewListKeysEndpoint(s),
-		ListInstances:   NewListInstancesEndpoint(s),
-		ListMembers:     NewListMembersEndpoint(s),
-		StartWave:       NewStartWaveEndpoint(s),
-		ListWaves:       NewListWavesEndpoint(s),
-		ChangeWave:      NewChangeWaveEndpoint(s),
-		ReportBurn:      NewReportBurnEndpoint(s),
+		GetConfig:   NewGetConfigEndpoint(s),
+		PatchConfig: NewPatchConfigEndpoint(s),
+		ShowFleet:   NewShowFleetEndpoint(s),
+		StartWave:   NewStartWaveEndpoint(s),
+		ReportBurn:  NewReportBurnEndpoint(s),
 	}
 }
 
@@ -63,16 +47,8 @@
 func (e *Endpoints) Use(m func(goa.Endpoint) goa.Endpoint) {
 	e.GetConfig = m(e.GetConfig)
 	e.PatchConfig = m(e.PatchConfig)
-	e.ConfigHistory = m(e.ConfigHistory)
-	e.VerdictEndpoint = m(e.VerdictEndpoint)
-	e.IssueKey = m(e.IssueKey)
-	e.WithdrawKey = m(e.WithdrawKey)
-	e.ListKeys = m(e.ListKeys)
-	e.ListInstances = m(e.ListInstances)
-	e.ListMembers = m(e.ListMembers)
+	e.ShowFleet = m(e.ShowFleet)
 	e.StartWave = m(e.StartWave)
-	e.ListWaves = m(e.ListWaves)
-	e.ChangeWave = m(e.ChangeWave)
 	e.ReportBurn = m(e.ReportBurn)
 }
 
@@ -94,66 +70,12 @@
 	}
 }
 
-// NewConfigHistoryEndpoint returns an endpoint function that calls the method
-// "config_history" of service "admin".
-func NewConfigHistoryEndpoint(s Service) goa.Endpoint {
+// NewShowFleetEndpoint returns an endpoint function that calls the method
+// "show_fleet" of service "admin".
+func NewShowFleetEndpoint(s Service) goa.Endpoint {
 	return func(ctx context.Context, req any) (any, error) {
-		p := req.(*ConfigHistoryPayload)
-		return s.ConfigHistory(ctx, p)
-	}
-}
-
-// NewVerdictEndpointEndpoint returns an endpoint function that calls the
-// method "verdict" of service "admin".
-func NewVerdictEndpointEndpoint(s Service) goa.Endpoint {
-	return func(ctx context.Context, req any) (any, error) {
-		p := req.(*VerdictPayload)
-		return s.VerdictEndpoint(ctx, p)
-	}
-}
-
-// NewIssueKeyEndpoint returns an endpoint function that calls the method
-// "issue_key" of service "admin".
-func NewIssueKeyEndpoint(s Service) goa.Endpoint {
-	return func(ctx context.Context, req any) (any, error) {
-		p := req.(*IssueKeyPayload)
-		return s.IssueKey(ctx, p)
-	}
-}
-
-// NewWithdrawKeyEndpoint returns an endpoint function that calls the method
-// "withdraw_key" of service "admin".
-func NewWithdrawKeyEndpoint(s Service) goa.Endpoint {
-	return func(ctx context.Context, req any) (any, error) {
-		p := req.(*WithdrawKeyPayload)
-		return s.WithdrawKey(ctx, p)
-	}
-}
-
-// NewListKeysEndpoint returns an endpoint function that calls the method
-// "list_keys" of service "admin".
-func NewListKeysEndpoint(s Service) goa.Endpoint {
-	return func(ctx context.Context, req any) (any, error) {
-		p := req.(*ListKeysPayload)
-		return s.ListKeys(ctx, p)
-	}
-}
-
-// NewListInstancesEndpoint returns an endpoint function that calls the method
-// "list_instances" of service "admin".
-func NewListInstancesEndpoint(s Service) goa.Endpoint {
-	return func(ctx context.Context, req any) (any, error) {
-		p := req.(*ListInstancesPayload)
-		return s.ListInstances(ctx, p)
-	}
-}
-
-// NewListMembersEndpoint returns an endpoint function that calls the method
-// "list_members" of service "admin".
-func NewListMembersEndpoint(s Service) goa.Endpoint {
-	return func(ctx context.Context, req any) (any, error) {
-		p := req.(*ListMembersPayload)
-		return s.ListMembers(ctx, p)
+		p := req.(*ShowFleetPayload)
+		return s.ShowFleet(ctx, p)
 	}
 }
 
@@ -166,24 +88,6 @@
 	}
 }
 
-// NewListWavesEndpoint returns an endpoint function that calls the method
-// "list_waves" of service "admin".
-func NewListWavesEndpoint(s Service) goa.Endpoint {
-	return func(ctx context.Context, req any) (any, error) {
-		p := req.(*ListWavesPayload)
-		return s.ListWaves(ctx, p)
-	}
-}
-
-// NewChangeWaveEndpoint returns an endpoint function that calls the method
-// "change_wave" of service "admin".
-func NewChangeWaveEndpoint(s Service) goa.Endpoint {
-	return func(ctx context.Context, req any) (any, error) {
-		p := req.(*ChangeWavePayload)
-		return s.ChangeWave(ctx, p)
-	}
-}
-
 // NewReportBurnEndpoint returns an endpoint function that calls the method
 // "report_burn" of service "admin".
 func NewReportBurnEndpoint(s Service) goa.Endpoint {
--- a/gen/admin/service.go
+++ b/gen/admin/service.go
@@ -15,33 +15,16 @@
 // Administration by operators.
 type Service interface {
 	// GetConfig implements get_config.
-	GetConfig(context.Context, *GetConfigPayload) (res *GetConfigResult, err error)
+	GetConfig(context.Context, *GetConfigPayload) (res *Config, err error)
 	// Patches the configuration. The body is a JSON merge patch or, with the media
 	// type application/json-patch+json, a JSON patch.
-	PatchConfig(context.Context, *PatchConfigPayload, io.ReadCloser) (res *Verdict, err error)
-	// ConfigHistory implements config_history.
-	ConfigHistory(context.Context, *ConfigHistoryPayload) (res []*Change, err error)
-	// Returns the verdict of a record ID, for a caller that did not learn it.
-	VerdictEndpoint(context.Context, *VerdictPayload) (res *Verdict, err error)
-	// Issues a key of a team. The key itself is shown only in this answer.
-	IssueKey(context.Context, *IssueKeyPayload) (res *IssueKeyResult, err error)
-	// WithdrawKey implements withdraw_key.
-	WithdrawKey(context.Context, *WithdrawKeyPayload) (res *Verdict, err error)
-	// ListKeys implements list_keys.
-	ListKeys(context.Context, *ListKeysPayload) (res []*KeyView, err error)
-	// ListInstances implements list_instances.
-	ListInstances(context.Context, *ListInstancesPayload) (res []*InstanceView, err error)
-	// ListMembers implements list_members.
-	ListMembers(context.Context, *ListMembersPayload) (res []*MemberView, err error)
-	// Starts a maintenance wave or a move. A dry run returns the planned order and
-	// changes nothing.
+	PatchConfig(context.Context, *PatchConfigPayload, io.ReadCloser) (res *Config, err error)
+	// Returns the owner, the workers and the waves.
+	ShowFleet(context.Context, *ShowFleetPayload) (res *FleetView, err error)
+	// Starts a maintenance wave.
 	StartWave(context.Context, *StartWavePayload) (res *WaveView, err error)
-	// ListWaves implements list_waves.
-	ListWaves(context.Context, *ListWavesPayload) (res []*WaveView, err error)
-	// ChangeWave implements change_wave.
-	ChangeWave(context.Context, *ChangeWavePayload) (res *WaveView, err error)
-	// Reports the error budgets and burn rates of the service-level objectives
-	// over all entry instances.
+	// Reports the error budgets and burn rates of the service-level objectives as
+	// this entry instance counted them.
 	ReportBurn(context.Context, *ReportBurnPayload) (res *BurnReport, err error)
 }
 
@@ -59,20 +42,20 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [13]string{"get_config", "patch_config", "config_history", "verdict", "issue_key", "withdraw_key", "list_keys", "list_instances", "list_members", "start_wave", "list_waves", "change_wave", "report_burn"}
+var MethodNames = [5]string{"get_config", "patch_config", "show_fleet", "start_wave", "report_burn"}
 
 type BurnObjective struct {
 	Name string
-	// Pool that the objective covers, or empty
-	Pool string
-	// Team that the objective covers, or empty
-	Team string
+	// Queue that the objective covers, or empty
+	Queue string
+	// Organisation that the objective covers, or empty
+	Organisation string
 	// Fraction of good requests, between 0 and 1
 	Target float64
 	// Time in milliseconds within which a request counts as good
 	LatencyMs int64
 	// Window of the error budget in hours
-	WindowHours int
+	WindowHours int64
 	// Unused fraction of the error budget; negative when it is overspent
 	BudgetLeft float64
 	// Burn per window, shortest first; the last is the objective's window
@@ -91,9 +74,7 @@
 	// Time of the report (RFC 3339)
 	At string
 	// Entry instances whose counters are included
-	Members []string
-	// Entry instances that did not answer; their requests are not counted
-	Missing    []string
+	Members    []string
 	Objectives []*BurnObjective
 }
 
@@ -109,30 +90,12 @@
 	BurnRate float64
 }
 
-type Change struct {
-	Version uint64
-	Offset  uint64
-	Record  string
-	Author  *string
-}
-
-// ChangeWavePayload is the payload type of the admin service change_wave
-// method.
-type ChangeWavePayload struct {
-	// Bearer and the operator token
-	Authorization *string
-	// Idempotency key of the proposal; absent: a new one
-	RecordID *string
-	Wave     string
-	Change   string
-	Reason   *string
-}
-
-// ConfigHistoryPayload is the payload type of the admin service config_history
-// method.
-type ConfigHistoryPayload struct {
-	// Bearer and the operator token
-	Authorization *string
+// Config is the result type of the admin service get_config method.
+type Config struct {
+	// Configuration version
+	Version int64
+	// Configuration document
+	Document any
 }
 
 type Finding struct {
@@ -142,112 +105,30 @@
 	Message string
 }
 
-// GetConfigPayload is the payload type of the admin service get_config method.
-type GetConfigPayload struct {
-	// Bearer and the operator token
-	Authorization *string
+// FleetView is the result type of the admin service show_fleet method.
+type FleetView struct {
+	// Entry instance that decides
+	Owner string
+	// Number that rises with every change of the owner
+	Term    int64
+	Workers []*WorkerView
+	Waves   []*WaveView
 }
 
-// GetConfigResult is the result type of the admin service get_config method.
-type GetConfigResult struct {
-	// Configuration version
-	Version uint64
-	// Configuration document
-	Document any
-}
-
-type InstanceView struct {
-	ID   string
-	Pool string
-	// Availability zone
-	Zone         string
-	Rack         string
-	Phase        string
-	Healthy      bool
-	Wave         *string
-	MaintainedIn *string
-}
-
-// IssueKeyPayload is the payload type of the admin service issue_key method.
-type IssueKeyPayload struct {
-	// Bearer and the operator token
-	Authorization *string
-	// Idempotency key of the proposal; absent: a new one
-	RecordID *string
-	Team     string
-}
-
-// IssueKeyResult is the result type of the admin service issue_key method.
-type IssueKeyResult struct {
-	KeyID string
-	// The secret that the team presents
-	Key     string
-	Verdict *Verdict
-}
-
-type KeyView struct {
-	KeyID string
-	Team  string
-	// Log offset of the record that issued the key
-	Issued uint64
-}
-
-// ListInstancesPayload is the payload type of the admin service list_instances
-// method.
-type ListInstancesPayload struct {
-	// Bearer and the operator token
-	Authorization *string
-}
-
-// ListKeysPayload is the payload type of the admin service list_keys method.
-type ListKeysPayload struct {
-	// Bearer and the operator token
-	Authorization *string
-}
-
-// ListMembersPayload is the payload type of the admin service list_members
-// method.
-type ListMembersPayload struct {
-	// Bearer and the operator token
-	Authorization *string
-}
-
-// ListWavesPayload is the payload type of the admin service list_waves method.
-type ListWavesPayload struct {
+// GetConfigPayload is the payload type of the admin service get_config method.
+type GetConfigPayload struct {
 	// Bearer and the operator token
 	Authorization *string
 }
 
-type MemberProgress struct {
-	// Entry instance
-	Member string
-	// Whether the entry instance has applied the record
-	InForce bool
-	// Time in milliseconds from the request until the entry instance had applied
-	// the record
-	AfterMs int64
-}
-
-type MemberView struct {
-	Name        string
-	Incarnation uint64
-	Address     string
-	// Availability zone
-	Zone string
-}
-
 // PatchConfigPayload is the payload type of the admin service patch_config
 // method.
 type PatchConfigPayload struct {
 	// Bearer and the operator token
 	Authorization *string
-	// Idempotency key of the proposal; absent: a new one
-	RecordID *string
 	// Configuration version that the patch was made for
-	IfMatch     *string
+	IfMatch     string
 	ContentType *string
-	// Wait until every entry instance has the change in force
-	Wait bool
 }
 
 type Problem struct {
@@ -265,10 +146,12 @@
 	Outcome *string
 	// Stable code of the reason
 	Reason *string
-	// Request ID
-	RequestID *string
+	// Job ID
+	JobID *string
+	// Time in seconds after which another attempt may succeed
+	RetryAfter *int
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64
+	CurrentVersion *int64
 	// Everything that was found wrong
 	Findings []*Finding
 }
@@ -280,74 +163,51 @@
 	Authorization *string
 }
 
-// StartWavePayload is the payload type of the admin service start_wave method.
-type StartWavePayload struct {
+// ShowFleetPayload is the payload type of the admin service show_fleet method.
+type ShowFleetPayload struct {
 	// Bearer and the operator token
 	Authorization *string
-	// Idempotency key of the proposal; absent: a new one
-	RecordID    *string
-	Wave        string
-	Action      string
-	Pools       []string
-	Instances   []string
-	To          *string
-	MaxParallel int
-	DryRun      bool
 }
 
-// Verdict is the result type of the admin service patch_config method.
-type Verdict struct {
-	// Record ID; asking again with it gives the same verdict
-	ID string
-	// Decision
-	Outcome string
-	// Configuration version after the record
-	Version uint64
-	// Log offset of the record
-	Offset uint64
-	// Reasons of a refusal
-	Findings []*Finding
-	// When each entry instance had it in force, if asked to wait
-	Members []*MemberProgress
-}
-
-// VerdictPayload is the payload type of the admin service verdict method.
-type VerdictPayload struct {
+// StartWavePayload is the payload type of the admin service start_wave method.
+type StartWavePayload struct {
 	// Bearer and the operator token
 	Authorization *string
-	ID            string
+	// Number that no other wave has
+	Number    int64
+	Instances []string
+	// Instances that may be down for the wave at a time
+	AtOnce int
+	// Time in seconds in which the wave is to be over
+	DeadlineS float64
 }
 
 // WaveView is the result type of the admin service start_wave method.
 type WaveView struct {
-	Wave   string
-	Action string
-	Pools  []string
-	To     *string
+	Number int64
 	Status string
-	Reason *string
-	// Instances of the wave
+	// Instances that the wave asks for
 	Total int
-	// Instances that are back in service
-	Done int
-	// Instances that are out of service for the wave
-	Out int
-	// Instances that are still to be taken out, in planned order, for a dry run
-	Order []string
-	// Expected end (RFC 3339) from the pace so far, once an instance has returned
-	ExpectedEnd *string
+	// Instances whose upkeep has begun or is over
+	Begun int
 }
 
-// WithdrawKeyPayload is the payload type of the admin service withdraw_key
-// method.
-type WithdrawKeyPayload struct {
-	// Bearer and the operator token
-	Authorization *string
-	// Idempotency key of the proposal; absent: a new one
-	RecordID *string
-	KeyID    string
-	// Wait until every entry instance has the change in force
-	Wait bool
+type WorkerView struct {
+	ID   string
+	Pool string
+	// Availability zone
+	Zone string
+	Rack string
+	// Instance that the worker lives on
+	Instance string
+	// Whether the worker gets new work
+	Phase string
+	// Runs that are placed there
+	Runs int
+	// Cores that the runs take
+	UsedCores float64
+	// Cores that the worker has
+	Cores float64
 }
 
 // Error returns an error description.
--- a/gen/health/service.go
+++ b/gen/health/service.go
@@ -57,10 +57,12 @@
 	Outcome *string
 	// Stable code of the reason
 	Reason *string
-	// Request ID
-	RequestID *string
+	// Job ID
+	JobID *string
+	// Time in seconds after which another attempt may succeed
+	RetryAfter *int
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64
+	CurrentVersion *int64
 	// Everything that was found wrong
 	Findings []*Finding
 }
--- a/gen/http/admin/client/cli.go
+++ b/gen/http/admin/client/cli.go
@@ -10,7 +10,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"strconv"
 
 	admin "github.com/pollenford/pollenford/gen/admin"
 	goa "goa.design/goa/v3/pkg"
@@ -33,34 +32,16 @@
 
 // BuildPatchConfigPayload builds the payload for the admin patch_config
 // endpoint from CLI flags.
-func BuildPatchConfigPayload(adminPatchConfigWait string, adminPatchConfigAuthorization string, adminPatchConfigRecordID string, adminPatchConfigIfMatch string, adminPatchConfigContentType string) (*admin.PatchConfigPayload, error) {
-	var err error
-	var wait bool
-	{
-		if adminPatchConfigWait != "" {
-			wait, err = strconv.ParseBool(adminPatchConfigWait)
-			if err != nil {
-				return nil, fmt.Errorf("invalid value for wait, must be BOOL")
-			}
-		}
-	}
+func BuildPatchConfigPayload(adminPatchConfigAuthorization string, adminPatchConfigIfMatch string, adminPatchConfigContentType string) (*admin.PatchConfigPayload, error) {
 	var authorization *string
 	{
 		if adminPatchConfigAuthorization != "" {
 			authorization = &adminPatchConfigAuthorization
 		}
 	}
-	var recordID *string
+	var ifMatch string
 	{
-		if adminPatchConfigRecordID != "" {
-			recordID = &adminPatchConfigRecordID
-		}
-	}
-	var ifMatch *string
-	{
-		if adminPatchConfigIfMatch != "" {
-			ifMatch = &adminPatchConfigIfMatch
-		}
+		ifMatch = adminPatchConfigIfMatch
 	}
 	var contentType *string
 	{
@@ -69,160 +50,23 @@
 		}
 	}
 	v := &admin.PatchConfigPayload{}
-	v.Wait = wait
 	v.Authorization = authorization
-	v.RecordID = recordID
 	v.IfMatch = ifMatch
 	v.ContentType = contentType
 
 	return v, nil
 }
 
-// BuildConfigHistoryPayload builds the payload for the admin config_history
-// endpoint from CLI flags.
-func BuildConfigHistoryPayload(adminConfigHistoryAuthorization string) (*admin.ConfigHistoryPayload, error) {
-	var authorization *string
-	{
-		if adminConfigHistoryAuthorization != "" {
-			authorization = &adminConfigHistoryAuthorization
-		}
-	}
-	v := &admin.ConfigHistoryPayload{}
-	v.Authorization = authorization
-
-	return v, nil
-}
-
-// BuildVerdictEndpointPayload builds the payload for the admin verdict
-// endpoint from CLI flags.
-func BuildVerdictEndpointPayload(adminVerdictID string, adminVerdictAuthorization string) (*admin.VerdictPayload, error) {
-	var id string
-	{
-		id = adminVerdictID
-	}
-	var authorization *string
-	{
-		if adminVerdictAuthorization != "" {
-			authorization = &adminVerdictAuthorization
-		}
-	}
-	v := &admin.VerdictPayload{}
-	v.ID = id
-	v.Authorization = authorization
-
-	return v, nil
-}
-
-// BuildIssueKeyPayload builds the payload for the admin issue_key endpoint
-// from CLI flags.
-func BuildIssueKeyPayload(adminIssueKeyBody string, adminIssueKeyAuthorization string, adminIssueKeyRecordID string) (*admin.IssueKeyPayload, error) {
-	var err error
-	var body IssueKeyRequestBody
-	{
-		err = json.Unmarshal([]byte(adminIssueKeyBody), &body)
-		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"team\": \"Quia voluptas perferendis quibusdam.\"\n   }'")
-		}
-	}
-	var authorization *string
-	{
-		if adminIssueKeyAuthorization != "" {
-			authorization = &adminIssueKeyAuthorization
-		}
-	}
-	var recordID *string
-	{
-		if adminIssueKeyRecordID != "" {
-			recordID = &adminIssueKeyRecordID
-		}
-	}
-	v := &admin.IssueKeyPayload{
-		Team: body.Team,
-	}
-	v.Authorization = authorization
-	v.RecordID = recordID
-
-	return v, nil
-}
-
-// BuildWithdrawKeyPayload builds the payload for the admin withdraw_key
-// endpoint from CLI flags.
-func BuildWithdrawKeyPayload(adminWithdrawKeyKeyID string, adminWithdrawKeyWait string, adminWithdrawKeyAuthorization string, adminWithdrawKeyRecordID string) (*admin.WithdrawKeyPayload, error) {
-	var err error
-	var keyID string
-	{
-		keyID = adminWithdrawKeyKeyID
-	}
-	var wait bool
-	{
-		if adminWithdrawKeyWait != "" {
-			wait, err = strconv.ParseBool(adminWithdrawKeyWait)
-			if err != nil {
-				return nil, fmt.Errorf("invalid value for wait, must be BOOL")
-			}
-		}
-	}
-	var authorization *string
-	{
-		if adminWithdrawKeyAuthorization != "" {
-			authorization = &adminWithdrawKeyAuthorization
-		}
-	}
-	var recordID *string
-	{
-		if adminWithdrawKeyRecordID != "" {
-			recordID = &adminWithdrawKeyRecordID
-		}
-	}
-	v := &admin.WithdrawKeyPayload{}
-	v.KeyID = keyID
-	v.Wait = wait
-	v.Authorization = authorization
-	v.RecordID = recordID
-
-	return v, nil
-}
-
-// BuildListKeysPayload builds the payload for the admin list_keys endpoint
+// BuildShowFleetPayload builds the payload for the admin show_fleet endpoint
 // from CLI flags.
-func BuildListKeysPayload(adminListKeysAuthorization string) (*admin.ListKeysPayload, error) {
+func BuildShowFleetPayload(adminShowFleetAuthorization string) (*admin.ShowFleetPayload, error) {
 	var authorization *string
 	{
-		if adminListKeysAuthorization != "" {
-			authorization = &adminListKeysAuthorization
+		if adminShowFleetAuthorization != "" {
+			authorization = &adminShowFleetAuthorization
 		}
 	}
-	v := &admin.ListKeysPayload{}
-	v.Authorization = authorization
-
-	return v, nil
-}
-
-// BuildListInstancesPayload builds the payload for the admin list_instances
-// endpoint from CLI flags.
-func BuildListInstancesPayload(adminListInstancesAuthorization string) (*admin.ListInstancesPayload, error) {
-	var authorization *string
-	{
-		if adminListInstancesAuthorization != "" {
-			authorization = &adminListInstancesAuthorization
-		}
-	}
-	v := &admin.ListInstancesPayload{}
-	v.Authorization = authorization
-
-	return v, nil
-}
-
-// BuildListMembersPayload builds the payload for the admin list_members
-// endpoint from CLI flags.
-func BuildListMembersPayload(adminListMembersAuthorization string) (*admin.ListMembersPayload, error) {
-	var authorization *string
-	{
-		if adminListMembersAuthorization != "" {
-			authorization = &adminListMembersAuthorization
-		}
-	}
-	v := &admin.ListMembersPayload{}
+	v := &admin.ShowFleetPayload{}
 	v.Authorization = authorization
 
 	return v, nil
@@ -230,19 +74,25 @@
 
 // BuildStartWavePayload builds the payload for the admin start_wave endpoint
 // from CLI flags.
-func BuildStartWavePayload(adminStartWaveBody string, adminStartWaveAuthorization string, adminStartWaveRecordID string) (*admin.StartWavePayload, error) {
+func BuildStartWavePayload(adminStartWaveBody string, adminStartWaveAuthorization string) (*admin.StartWavePayload, error) {
 	var err error
 	var body StartWaveRequestBody
 	{
 		err = json.Unmarshal([]byte(adminStartWaveBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"action\": \"move\",\n      \"dry_run\": true,\n      \"instances\": [\n         \"Ipsum reiciendis adipisci praesentium.\",\n         \"Perferendis animi.\",\n         \"Sapiente deserunt quia molestiae mollitia consequatur qui.\",\n         \"Cum exercitationem et dignissimos et.\"\n      ],\n      \"max_parallel\": 3998438489248356681,\n      \"pools\": [\n         \"Architecto possimus temporibus aperiam omnis mollitia qui.\",\n         \"Qui modi non.\",\n         \"Cumque ut sit.\"\n      ],\n      \"to\": \"Sit qui sed repudiandae.\",\n      \"wave\": \"Corporis non at.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"at_once\": 6515958611972763555,\n      \"deadline_s\": 0.5944751614071606,\n      \"instances\": [\n         \"Iure modi repudiandae reprehenderit error.\",\n         \"Rerum fuga.\",\n         \"Natus maxime eos earum adipisci autem optio.\"\n      ],\n      \"number\": 3034314756623964556\n   }'")
+		}
+		if body.Instances == nil {
+			err = goa.MergeErrors(err, goa.MissingFieldError("instances", "body"))
 		}
-		if body.Pools == nil {
-			err = goa.MergeErrors(err, goa.MissingFieldError("pools", "body"))
+		if body.Number < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.number", body.Number, 1, true))
 		}
-		if !(body.Action == "reboot" || body.Action == "move") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.action", body.Action, []any{"reboot", "move"}))
+		if len(body.Instances) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.instances", body.Instances, len(body.Instances), 1, true))
+		}
+		if body.AtOnce < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.at_once", body.AtOnce, 1, true))
 		}
 		if err != nil {
 			return nil, err
@@ -254,108 +104,32 @@
 			authorization = &adminStartWaveAuthorization
 		}
 	}
-	var recordID *string
-	{
-		if adminStartWaveRecordID != "" {
-			recordID = &adminStartWaveRecordID
-		}
-	}
 	v := &admin.StartWavePayload{
-		Wave:        body.Wave,
-		Action:      body.Action,
-		To:          body.To,
-		MaxParallel: body.MaxParallel,
-		DryRun:      body.DryRun,
-	}
-	if body.Pools != nil {
-		v.Pools = make([]string, len(body.Pools))
-		for i, val := range body.Pools {
-			v.Pools[i] = val
-		}
-	} else {
-		v.Pools = []string{}
+		Number:    body.Number,
+		AtOnce:    body.AtOnce,
+		DeadlineS: body.DeadlineS,
 	}
 	if body.Instances != nil {
 		v.Instances = make([]string, len(body.Instances))
 		for i, val := range body.Instances {
 			v.Instances[i] = val
 		}
+	} else {
+		v.Instances = []string{}
 	}
 	{
 		var zero int
-		if v.MaxParallel == zero {
-			v.MaxParallel = 0
-		}
-	}
-	{
-		var zero bool
-		if v.DryRun == zero {
-			v.DryRun = false
-		}
-	}
-	v.Authorization = authorization
-	v.RecordID = recordID
-
-	return v, nil
-}
-
-// BuildListWavesPayload builds the payload for the admin list_waves endpoint
-// from CLI flags.
-func BuildListWavesPayload(adminListWavesAuthorization string) (*admin.ListWavesPayload, error) {
-	var authorization *string
-	{
-		if adminListWavesAuthorization != "" {
-			authorization = &adminListWavesAuthorization
-		}
-	}
-	v := &admin.ListWavesPayload{}
-	v.Authorization = authorization
-
-	return v, nil
-}
-
-// BuildChangeWavePayload builds the payload for the admin change_wave endpoint
-// from CLI flags.
-func BuildChangeWavePayload(adminChangeWaveWave string, adminChangeWaveChange string, adminChangeWaveReason string, adminChangeWaveAuthorization string, adminChangeWaveRecordID string) (*admin.ChangeWavePayload, error) {
-	var err error
-	var wave string
-	{
-		wave = adminChangeWaveWave
-	}
-	var change string
-	{
-		change = adminChangeWaveChange
-		if !(change == "pause" || change == "resume" || change == "abort") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("change", change, []any{"pause", "resume", "abort"}))
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-	var reason *string
-	{
-		if adminChangeWaveReason != "" {
-			reason = &adminChangeWaveReason
-		}
-	}
-	var authorization *string
-	{
-		if adminChangeWaveAuthorization != "" {
-			authorization = &adminChangeWaveAuthorization
+		if v.AtOnce == zero {
+			v.AtOnce = 1
 		}
 	}
-	var recordID *string
 	{
-		if adminChangeWaveRecordID != "" {
-			recordID = &adminChangeWaveRecordID
+		var zero float64
+		if v.DeadlineS == zero {
+			v.DeadlineS = 0
 		}
 	}
-	v := &admin.ChangeWavePayload{}
-	v.Wave = wave
-	v.Change = change
-	v.Reason = reason
 	v.Authorization = authorization
-	v.RecordID = recordID
 
 	return v, nil
 }
--- a/gen/http/admin/client/client.go
+++ b/gen/http/admin/client/client.go
@@ -25,46 +25,14 @@
 	// patch_config endpoint.
 	PatchConfigDoer goahttp.Doer
 
-	// ConfigHistory Doer is the HTTP client used to make requests to the
-	// config_history endpoint.
-	ConfigHistoryDoer goahttp.Doer
-
-	// VerdictEndpoint Doer is the HTTP client used to make requests to the verdict
-	// endpoint.
-	VerdictEndpointDoer goahttp.Doer
-
-	// IssueKey Doer is the HTTP client used to make requests to the issue_key
+	// ShowFleet Doer is the HTTP client used to make requests to the show_fleet
 	// endpoint.
-	IssueKeyDoer goahttp.Doer
-
-	// WithdrawKey Doer is the HTTP client used to make requests to the
-	// withdraw_key endpoint.
-	WithdrawKeyDoer goahttp.Doer
-
-	// ListKeys Doer is the HTTP client used to make requests to the list_keys
-	// endpoint.
-	ListKeysDoer goahttp.Doer
-
-	// ListInstances Doer is the HTTP client used to make requests to the
-	// list_instances endpoint.
-	ListInstancesDoer goahttp.Doer
-
-	// ListMembers Doer is the HTTP client used to make requests to the
-	// list_members endpoint.
-	ListMembersDoer goahttp.Doer
+	ShowFleetDoer goahttp.Doer
 
 	// StartWave Doer is the HTTP client used to make requests to the start_wave
 	// endpoint.
 	StartWaveDoer goahttp.Doer
 
-	// ListWaves Doer is the HTTP client used to make requests to the list_waves
-	// endpoint.
-	ListWavesDoer goahttp.Doer
-
-	// ChangeWave Doer is the HTTP client used to make requests to the change_wave
-	// endpoint.
-	ChangeWaveDoer goahttp.Doer
-
 	// ReportBurn Doer is the HTTP client used to make requests to the report_burn
 	// endpoint.
 	ReportBurnDoer goahttp.Doer
@@ -91,16 +59,8 @@
 	return &Client{
 		GetConfigDoer:       doer,
 		PatchConfigDoer:     doer,
-		ConfigHistoryDoer:   doer,
-		VerdictEndpointDoer: doer,
-		IssueKeyDoer:        doer,
-		WithdrawKeyDoer:     doer,
-		ListKeysDoer:        doer,
-		ListInstancesDoer:   doer,
-		ListMembersDoer:     doer,
+		ShowFleetDoer:       doer,
 		StartWaveDoer:       doer,
-		ListWavesDoer:       doer,
-		ChangeWaveDoer:      doer,
 		ReportBurnDoer:      doer,
 		RestoreResponseBody: restoreBody,
 		scheme:              scheme,
@@ -158,159 +118,15 @@
 	}
 }
 
-// ConfigHistory returns an endpoint that makes HTTP requests to the admin
-// service config_history server.
-func (c *Client) ConfigHistory() goa.Endpoint {
-	var (
-		encodeRequest  = EncodeConfigHistoryRequest(c.encoder)
-		decodeResponse = DecodeConfigHistoryResponse(c.decoder, c.RestoreResponseBody)
-	)
-	return func(ctx context.Context, v any) (any, error) {
-		req, err := c.BuildConfigHistoryRequest(ctx, v)
-		if err != nil {
-			return nil, err
-		}
-		err = encodeRequest(req, v)
-		if err != nil {
-			return nil, err
-		}
-		resp, err := c.ConfigHistoryDoer.Do(req)
-		if err != nil {
-			return nil, goahttp.ErrRequestError("admin", "config_history", err)
-		}
-		return decodeResponse(resp)
-	}
-}
-
-// VerdictEndpoint returns an endpoint that makes HTTP requests to the admin
-// service verdict server.
-func (c *Client) VerdictEndpoint() goa.Endpoint {
-	var (
-		encodeRequest  = EncodeVerdictEndpointRequest(c.encoder)
-		decodeResponse = DecodeVerdictEndpointResponse(c.decoder, c.RestoreResponseBody)
-	)
-	return func(ctx context.Context, v any) (any, error) {
-		req, err := c.BuildVerdictEndpointRequest(ctx, v)
-		if err != nil {
-			return nil, err
-		}
-		err = encodeRequest(req, v)
-		if err != nil {
-			return nil, err
-		}
-		resp, err := c.VerdictEndpointDoer.Do(req)
-		if err != nil {
-			return nil, goahttp.ErrRequestError("admin", "verdict", err)
-		}
-		return decodeResponse(resp)
-	}
-}
-
-// IssueKey returns an endpoint that makes HTTP requests to the admin service
-// issue_key server.
-func (c *Client) IssueKey() goa.Endpoint {
-	var (
-		encodeRequest  = EncodeIssueKeyRequest(c.encoder)
-		decodeResponse = DecodeIssueKeyResponse(c.decoder, c.RestoreResponseBody)
-	)
-	return func(ctx context.Context, v any) (any, error) {
-		req, err := c.BuildIssueKeyRequest(ctx, v)
-		if err != nil {
-			return nil, err
-		}
-		err = encodeRequest(req, v)
-		if err != nil {
-			return nil, err
-		}
-		resp, err := c.IssueKeyDoer.Do(req)
-		if err != nil {
-			return nil, goahttp.ErrRequestError("admin", "issue_key", err)
-		}
-		return decodeResponse(resp)
-	}
-}
-
-// WithdrawKey returns an endpoint that makes HTTP requests to the admin
-// service withdraw_key server.
-func (c *Client) WithdrawKey() goa.Endpoint {
-	var (
-		encodeRequest  = EncodeWithdrawKeyRequest(c.encoder)
-		decodeResponse = DecodeWithdrawKeyResponse(c.decoder, c.RestoreResponseBody)
-	)
-	return func(ctx context.Context, v any) (any, error) {
-		req, err := c.BuildWithdrawKeyRequest(ctx, v)
-		if err != nil {
-			return nil, err
-		}
-		err = encodeRequest(req, v)
-		if err != nil {
-			return nil, err
-		}
-		resp, err := c.WithdrawKeyDoer.Do(req)
-		if err != nil {
-			return nil, goahttp.ErrRequestError("admin", "withdraw_key", err)
-		}
-		return decodeResponse(resp)
-	}
-}
-
-// ListKeys returns an endpoint that makes HTTP requests to the admin service
-// list_keys server.
-func (c *Client) ListKeys() goa.Endpoint {
-	var (
-		encodeRequest  = EncodeListKeysRequest(c.encoder)
-		decodeResponse = DecodeListKeysResponse(c.decoder, c.RestoreResponseBody)
-	)
-	return func(ctx context.Context, v any) (any, error) {
-		req, err := c.BuildListKeysRequest(ctx, v)
-		if err != nil {
-			return nil, err
-		}
-		err = encodeRequest(req, v)
-		if err != nil {
-			return nil, err
-		}
-		resp, err := c.ListKeysDoer.Do(req)
-		if err != nil {
-			return nil, goahttp.ErrRequestError("admin", "list_keys", err)
-		}
-		return decodeResponse(resp)
-	}
-}
-
-// ListInstances returns an endpoint that makes HTTP requests to the admin
-// service list_instances server.
-func (c *Client) ListInstances() goa.Endpoint {
-	var (
-		encodeRequest  = EncodeListInstancesRequest(c.encoder)
-		decodeResponse = DecodeListInstancesResponse(c.decoder, c.RestoreResponseBody)
-	)
-	return func(ctx context.Context, v any) (any, error) {
-		req, err := c.BuildListInstancesRequest(ctx, v)
-		if err != nil {
-			return nil, err
-		}
-		err = encodeRequest(req, v)
-		if err != nil {
-			return nil, err
-		}
-		resp, err := c.ListInstancesDoer.Do(req)
-		if err != nil {
-			return nil, goahttp.ErrRequestError("admin", "list_instances", err)
-		}
-		return decodeResponse(resp)
-	}
-}
-
-// ListMembers returns an endpoint that makes HTTP requests to the admin
-// service list_members server.
-func (c *Client) ListMembers() goa.Endpoint {
+// ShowFleet returns an endpoint that makes HTTP requests to the admin service
+// show_fleet server.
+func (c *Client) ShowFleet() goa.Endpoint {
 	var (
-		encodeRequest  = EncodeListMembersRequest(c.encoder)
-		decodeResponse = DecodeListMembersResponse(c.decoder, c.RestoreResponseBody)
+		encodeRequest  = EncodeShowFleetRequest(c.encoder)
+		decodeResponse = DecodeShowFleetResponse(c.decoder, c.RestoreResponseBody)
 	)
 	return func(ctx context.Context, v any) (any, error) {
-		req, err := c.BuildListMembersRequest(ctx, v)
+		req, err := c.BuildShowFleetRequest(ctx, v)
 		if err != nil {
 			return nil, err
 		}
@@ -318,9 +134,9 @@
 		if err != nil {
 			return nil, err
 		}
-		resp, err := c.ListMembersDoer.Do(req)
+		resp, err := c.ShowFleetDoer.Do(req)
 		if err != nil {
-			return nil, goahttp.ErrRequestError("admin", "list_members", err)
+			return nil, goahttp.ErrRequestError("admin", "show_fleet", err)
 		}
 		return decodeResponse(resp)
 	}
@@ -350,54 +166,6 @@
 	}
 }
 
-// ListWaves returns an endpoint that makes HTTP requests to the admin service
-// list_waves server.
-func (c *Client) ListWaves() goa.Endpoint {
-	var (
-		encodeRequest  = EncodeListWavesRequest(c.encoder)
-		decodeResponse = DecodeListWavesResponse(c.decoder, c.RestoreResponseBody)
-	)
-	return func(ctx context.Context, v any) (any, error) {
-		req, err := c.BuildListWavesRequest(ctx, v)
-		if err != nil {
-			return nil, err
-		}
-		err = encodeRequest(req, v)
-		if err != nil {
-			return nil, err
-		}
-		resp, err := c.ListWavesDoer.Do(req)
-		if err != nil {
-			return nil, goahttp.ErrRequestError("admin", "list_waves", err)
-		}
-		return decodeResponse(resp)
-	}
-}
-
-// ChangeWave returns an endpoint that makes HTTP requests to the admin service
-// change_wave server.
-func (c *Client) ChangeWave() goa.Endpoint {
-	var (
-		encodeRequest  = EncodeChangeWaveRequest(c.encoder)
-		decodeResponse = DecodeChangeWaveResponse(c.decoder, c.RestoreResponseBody)
-	)
-	return func(ctx context.Context, v any) (any, error) {
-		req, err := c.BuildChangeWaveRequest(ctx, v)
-		if err != nil {
-			return nil, err
-		}
-		err = encodeRequest(req, v)
-		if err != nil {
-			return nil, err
-		}
-		resp, err := c.ChangeWaveDoer.Do(req)
-		if err != nil {
-			return nil, goahttp.ErrRequestError("admin", "change_wave", err)
-		}
-		return decodeResponse(resp)
-	}
-}
-
 // ReportBurn returns an endpoint that makes HTTP requests to the admin service
 // report_burn server.
 func (c *Client) ReportBurn() goa.Endpoint {
--- a/gen/http/admin/client/encode_decode.go
+++ b/gen/http/admin/client/encode_decode.go
@@ -10,11 +10,11 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
 	"os"
+	"strconv"
 
 	admin "github.com/pollenford/pollenford/gen/admin"
 	goahttp "goa.design/goa/v3/http"
@@ -92,7 +92,7 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "get_config", err)
 			}
-			res := NewGetConfigResultOK(&body)
+			res := NewGetConfigConfigOK(&body)
 			return res, nil
 		case http.StatusBadRequest:
 			var (
@@ -107,7 +107,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "get_config", err)
 			}
-			return nil, NewGetConfigBadRequest(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "get_config", err)
+			}
+			return nil, NewGetConfigBadRequest(&body, retryAfter)
 		case http.StatusPreconditionFailed:
 			var (
 				body GetConfigConflictResponseBody
@@ -121,7 +138,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "get_config", err)
 			}
-			return nil, NewGetConfigConflict(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "get_config", err)
+			}
+			return nil, NewGetConfigConflict(&body, retryAfter)
 		case http.StatusNotFound:
 			var (
 				body GetConfigNotFoundResponseBody
@@ -135,7 +169,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "get_config", err)
 			}
-			return nil, NewGetConfigNotFound(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "get_config", err)
+			}
+			return nil, NewGetConfigNotFound(&body, retryAfter)
 		case http.StatusUnprocessableEntity:
 			var (
 				body GetConfigRefusedResponseBody
@@ -149,7 +200,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "get_config", err)
 			}
-			return nil, NewGetConfigRefused(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "get_config", err)
+			}
+			return nil, NewGetConfigRefused(&body, retryAfter)
 		case http.StatusUnauthorized:
 			var (
 				body GetConfigUnauthorizedResponseBody
@@ -163,7 +231,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "get_config", err)
 			}
-			return nil, NewGetConfigUnauthorized(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "get_config", err)
+			}
+			return nil, NewGetConfigUnauthorized(&body, retryAfter)
 		case http.StatusServiceUnavailable:
 			var (
 				body GetConfigUnavailableResponseBody
@@ -177,7 +262,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "get_config", err)
 			}
-			return nil, NewGetConfigUnavailable(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "get_config", err)
+			}
+			return nil, NewGetConfigUnavailable(&body, retryAfter)
 		case http.StatusGatewayTimeout:
 			var (
 				body GetConfigUnknownResponseBody
@@ -191,7 +293,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "get_config", err)
 			}
-			return nil, NewGetConfigUnknown(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "get_config", err)
+			}
+			return nil, NewGetConfigUnknown(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("admin", "get_config", resp.StatusCode, string(body))
@@ -235,21 +354,14 @@
 			head := *p.Authorization
 			req.Header.Set("Authorization", head)
 		}
-		if p.RecordID != nil {
-			head := *p.RecordID
-			req.Header.Set("Idempotency-Key", head)
-		}
-		if p.IfMatch != nil {
-			head := *p.IfMatch
+		{
+			head := p.IfMatch
 			req.Header.Set("If-Match", head)
 		}
 		if p.ContentType != nil {
 			head := *p.ContentType
 			req.Header.Set("Content-Type", head)
 		}
-		values := req.URL.Query()
-		values.Add("wait", fmt.Sprintf("%v", p.Wait))
-		req.URL.RawQuery = values.Encode()
 		return nil
 	}
 }
@@ -294,7 +406,7 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "patch_config", err)
 			}
-			res := NewPatchConfigVerdictOK(&body)
+			res := NewPatchConfigConfigOK(&body)
 			return res, nil
 		case http.StatusBadRequest:
 			var (
@@ -309,7 +421,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "patch_config", err)
 			}
-			return nil, NewPatchConfigBadRequest(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "patch_config", err)
+			}
+			return nil, NewPatchConfigBadRequest(&body, retryAfter)
 		case http.StatusPreconditionFailed:
 			var (
 				body PatchConfigConflictResponseBody
@@ -323,7 +452,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "patch_config", err)
 			}
-			return nil, NewPatchConfigConflict(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "patch_config", err)
+			}
+			return nil, NewPatchConfigConflict(&body, retryAfter)
 		case http.StatusNotFound:
 			var (
 				body PatchConfigNotFoundResponseBody
@@ -337,7 +483,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "patch_config", err)
 			}
-			return nil, NewPatchConfigNotFound(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "patch_config", err)
+			}
+			return nil, NewPatchConfigNotFound(&body, retryAfter)
 		case http.StatusUnprocessableEntity:
 			var (
 				body PatchConfigRefusedResponseBody
@@ -351,7 +514,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "patch_config", err)
 			}
-			return nil, NewPatchConfigRefused(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "patch_config", err)
+			}
+			return nil, NewPatchConfigRefused(&body, retryAfter)
 		case http.StatusUnauthorized:
 			var (
 				body PatchConfigUnauthorizedResponseBody
@@ -365,7 +545,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "patch_config", err)
 			}
-			return nil, NewPatchConfigUnauthorized(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "patch_config", err)
+			}
+			return nil, NewPatchConfigUnauthorized(&body, retryAfter)
 		case http.StatusServiceUnavailable:
 			var (
 				body PatchConfigUnavailableResponseBody
@@ -379,7 +576,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "patch_config", err)
 			}
-			return nil, NewPatchConfigUnavailable(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "patch_config", err)
+			}
+			return nil, NewPatchConfigUnavailable(&body, retryAfter)
 		case http.StatusGatewayTimeout:
 			var (
 				body PatchConfigUnknownResponseBody
@@ -393,7 +607,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "patch_config", err)
 			}
-			return nil, NewPatchConfigUnknown(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "patch_config", err)
+			}
+			return nil, NewPatchConfigUnknown(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("admin", "patch_config", resp.StatusCode, string(body))
@@ -414,13 +645,13 @@
 	}, nil
 }
 
-// BuildConfigHistoryRequest instantiates a HTTP request object with method and
-// path set to call the "admin" service "config_history" endpoint
-func (c *Client) BuildConfigHistoryRequest(ctx context.Context, v any) (*http.Request, error) {
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ConfigHistoryAdminPath()}
+// BuildShowFleetRequest instantiates a HTTP request object with method and
+// path set to call the "admin" service "show_fleet" endpoint
+func (c *Client) BuildShowFleetRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ShowFleetAdminPath()}
 	req, err := http.NewRequest("GET", u.String(), nil)
 	if err != nil {
-		return nil, goahttp.ErrInvalidURL("admin", "config_history", u.String(), err)
+		return nil, goahttp.ErrInvalidURL("admin", "show_fleet", u.String(), err)
 	}
 	if ctx != nil {
 		req = req.WithContext(ctx)
@@ -429,13 +660,13 @@
 	return req, nil
 }
 
-// EncodeConfigHistoryRequest returns an encoder for requests sent to the admin
-// config_history server.
-func EncodeConfigHistoryRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+// EncodeShowFleetRequest returns an encoder for requests sent to the admin
+// show_fleet server.
+func EncodeShowFleetRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
 	return func(req *http.Request, v any) error {
-		p, ok := v.(*admin.ConfigHistoryPayload)
+		p, ok := v.(*admin.ShowFleetPayload)
 		if !ok {
-			return goahttp.ErrInvalidType("admin", "config_history", "*admin.ConfigHistoryPayload", v)
+			return goahttp.ErrInvalidType("admin", "show_fleet", "*admin.ShowFleetPayload", v)
 		}
 		if p.Authorization != nil {
 			head := *p.Authorization
@@ -445,10 +676,10 @@
 	}
 }
 
-// DecodeConfigHistoryResponse returns a decoder for responses returned by the
-// admin config_history endpoint. restoreBody controls whether the response
-// body should be restored after having been read.
-// DecodeConfigHistoryResponse may return the following errors:
+// DecodeShowFleetResponse returns a decoder for responses returned by the
+// admin show_fleet endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeShowFleetResponse may return the following errors:
 //   - "bad_request" (type *admin.Problem): http.StatusBadRequest
 //   - "conflict" (type *admin.Problem): http.StatusPreconditionFailed
 //   - "not_found" (type *admin.Problem): http.StatusNotFound
@@ -457,7 +688,7 @@
 //   - "unavailable" (type *admin.Problem): http.StatusServiceUnavailable
 //   - "unknown" (type *admin.Problem): http.StatusGatewayTimeout
 //   - error: internal error
-func DecodeConfigHistoryResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+func DecodeShowFleetResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
 		if restoreBody {
 			b, err := io.ReadAll(resp.Body)
@@ -474,147 +705,250 @@
 		switch resp.StatusCode {
 		case http.StatusOK:
 			var (
-				body []*ChangeResponse
+				body ShowFleetResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "config_history", err)
-			}
-			for _, e := range body {
-				if e != nil {
-					if err2 := ValidateChangeResponse(e); err2 != nil {
-						err = goa.MergeErrors(err, err2)
-					}
-				}
+				return nil, goahttp.ErrDecodingError("admin", "show_fleet", err)
 			}
+			err = ValidateShowFleetResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "config_history", err)
+				return nil, goahttp.ErrValidationError("admin", "show_fleet", err)
 			}
-			res := NewConfigHistoryChangeOK(body)
+			res := NewShowFleetFleetViewOK(&body)
 			return res, nil
 		case http.StatusBadRequest:
 			var (
-				body ConfigHistoryBadRequestResponseBody
+				body ShowFleetBadRequestResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "config_history", err)
+				return nil, goahttp.ErrDecodingError("admin", "show_fleet", err)
+			}
+			err = ValidateShowFleetBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "show_fleet", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateConfigHistoryBadRequestResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "config_history", err)
+				return nil, goahttp.ErrValidationError("admin", "show_fleet", err)
 			}
-			return nil, NewConfigHistoryBadRequest(&body)
+			return nil, NewShowFleetBadRequest(&body, retryAfter)
 		case http.StatusPreconditionFailed:
 			var (
-				body ConfigHistoryConflictResponseBody
+				body ShowFleetConflictResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "config_history", err)
+				return nil, goahttp.ErrDecodingError("admin", "show_fleet", err)
+			}
+			err = ValidateShowFleetConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "show_fleet", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateConfigHistoryConflictResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "config_history", err)
+				return nil, goahttp.ErrValidationError("admin", "show_fleet", err)
 			}
-			return nil, NewConfigHistoryConflict(&body)
+			return nil, NewShowFleetConflict(&body, retryAfter)
 		case http.StatusNotFound:
 			var (
-				body ConfigHistoryNotFoundResponseBody
+				body ShowFleetNotFoundResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "config_history", err)
+				return nil, goahttp.ErrDecodingError("admin", "show_fleet", err)
+			}
+			err = ValidateShowFleetNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "show_fleet", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateConfigHistoryNotFoundResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "config_history", err)
+				return nil, goahttp.ErrValidationError("admin", "show_fleet", err)
 			}
-			return nil, NewConfigHistoryNotFound(&body)
+			return nil, NewShowFleetNotFound(&body, retryAfter)
 		case http.StatusUnprocessableEntity:
 			var (
-				body ConfigHistoryRefusedResponseBody
+				body ShowFleetRefusedResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "config_history", err)
+				return nil, goahttp.ErrDecodingError("admin", "show_fleet", err)
+			}
+			err = ValidateShowFleetRefusedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "show_fleet", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateConfigHistoryRefusedResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "config_history", err)
+				return nil, goahttp.ErrValidationError("admin", "show_fleet", err)
 			}
-			return nil, NewConfigHistoryRefused(&body)
+			return nil, NewShowFleetRefused(&body, retryAfter)
 		case http.StatusUnauthorized:
 			var (
-				body ConfigHistoryUnauthorizedResponseBody
+				body ShowFleetUnauthorizedResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "config_history", err)
+				return nil, goahttp.ErrDecodingError("admin", "show_fleet", err)
+			}
+			err = ValidateShowFleetUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "show_fleet", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateConfigHistoryUnauthorizedResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "config_history", err)
+				return nil, goahttp.ErrValidationError("admin", "show_fleet", err)
 			}
-			return nil, NewConfigHistoryUnauthorized(&body)
+			return nil, NewShowFleetUnauthorized(&body, retryAfter)
 		case http.StatusServiceUnavailable:
 			var (
-				body ConfigHistoryUnavailableResponseBody
+				body ShowFleetUnavailableResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "config_history", err)
+				return nil, goahttp.ErrDecodingError("admin", "show_fleet", err)
 			}
-			err = ValidateConfigHistoryUnavailableResponseBody(&body)
+			err = ValidateShowFleetUnavailableResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "config_history", err)
+				return nil, goahttp.ErrValidationError("admin", "show_fleet", err)
 			}
-			return nil, NewConfigHistoryUnavailable(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "show_fleet", err)
+			}
+			return nil, NewShowFleetUnavailable(&body, retryAfter)
 		case http.StatusGatewayTimeout:
 			var (
-				body ConfigHistoryUnknownResponseBody
+				body ShowFleetUnknownResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "config_history", err)
+				return nil, goahttp.ErrDecodingError("admin", "show_fleet", err)
+			}
+			err = ValidateShowFleetUnknownResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "show_fleet", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateConfigHistoryUnknownResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "config_history", err)
+				return nil, goahttp.ErrValidationError("admin", "show_fleet", err)
 			}
-			return nil, NewConfigHistoryUnknown(&body)
+			return nil, NewShowFleetUnknown(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("admin", "config_history", resp.StatusCode, string(body))
+			return nil, goahttp.ErrInvalidResponse("admin", "show_fleet", resp.StatusCode, string(body))
 		}
 	}
 }
 
-// BuildVerdictEndpointRequest instantiates a HTTP request object with method
-// and path set to call the "admin" service "verdict" endpoint
-func (c *Client) BuildVerdictEndpointRequest(ctx context.Context, v any) (*http.Request, error) {
-	var (
-		id string
-	)
-	{
-		p, ok := v.(*admin.VerdictPayload)
-		if !ok {
-			return nil, goahttp.ErrInvalidType("admin", "verdict", "*admin.VerdictPayload", v)
-		}
-		id = p.ID
-	}
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: VerdictEndpointAdminPath(id)}
-	req, err := http.NewRequest("GET", u.String(), nil)
+// BuildStartWaveRequest instantiates a HTTP request object with method and
+// path set to call the "admin" service "start_wave" endpoint
+func (c *Client) BuildStartWaveRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: StartWaveAdminPath()}
+	req, err := http.NewRequest("POST", u.String(), nil)
 	if err != nil {
-		return nil, goahttp.ErrInvalidURL("admin", "verdict", u.String(), err)
+		return nil, goahttp.ErrInvalidURL("admin", "start_wave", u.String(), err)
 	}
 	if ctx != nil {
 		req = req.WithContext(ctx)
@@ -623,26 +957,30 @@
 	return req, nil
 }
 
-// EncodeVerdictEndpointRequest returns an encoder for requests sent to the
-// admin verdict server.
-func EncodeVerdictEndpointRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+// EncodeStartWaveRequest returns an encoder for requests sent to the admin
+// start_wave server.
+func EncodeStartWaveRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
 	return func(req *http.Request, v any) error {
-		p, ok := v.(*admin.VerdictPayload)
+		p, ok := v.(*admin.StartWavePayload)
 		if !ok {
-			return goahttp.ErrInvalidType("admin", "verdict", "*admin.VerdictPayload", v)
+			return goahttp.ErrInvalidType("admin", "start_wave", "*admin.StartWavePayload", v)
 		}
 		if p.Authorization != nil {
 			head := *p.Authorization
 			req.Header.Set("Authorization", head)
 		}
+		body := NewStartWaveRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("admin", "start_wave", err)
+		}
 		return nil
 	}
 }
 
-// DecodeVerdictEndpointResponse returns a decoder for responses returned by
-// the admin verdict endpoint. restoreBody controls whether the response body
+// DecodeStartWaveResponse returns a decoder for responses returned by the
+// admin start_wave endpoint. restoreBody controls whether the response body
 // should be restored after having been read.
-// DecodeVerdictEndpointResponse may return the following errors:
+// DecodeStartWaveResponse may return the following errors:
 //   - "bad_request" (type *admin.Problem): http.StatusBadRequest
 //   - "conflict" (type *admin.Problem): http.StatusPreconditionFailed
 //   - "not_found" (type *admin.Problem): http.StatusNotFound
@@ -651,7 +989,7 @@
 //   - "unavailable" (type *admin.Problem): http.StatusServiceUnavailable
 //   - "unknown" (type *admin.Problem): http.StatusGatewayTimeout
 //   - error: internal error
-func DecodeVerdictEndpointResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+func DecodeStartWaveResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
 		if restoreBody {
 			b, err := io.ReadAll(resp.Body)
@@ -666,1624 +1004,241 @@
 			defer resp.Body.Close()
 		}
 		switch resp.StatusCode {
-		case http.StatusOK:
+		case http.StatusCreated:
 			var (
-				body VerdictResponseBody
+				body StartWaveResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "verdict", err)
+				return nil, goahttp.ErrDecodingError("admin", "start_wave", err)
 			}
-			err = ValidateVerdictResponseBody(&body)
+			err = ValidateStartWaveResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "verdict", err)
+				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
 			}
-			res := NewVerdictOK(&body)
+			res := NewStartWaveWaveViewCreated(&body)
 			return res, nil
 		case http.StatusBadRequest:
 			var (
-				body VerdictBadRequestResponseBody
+				body StartWaveBadRequestResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "verdict", err)
+				return nil, goahttp.ErrDecodingError("admin", "start_wave", err)
+			}
+			err = ValidateStartWaveBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateVerdictBadRequestResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "verdict", err)
+				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
 			}
-			return nil, NewVerdictBadRequest(&body)
+			return nil, NewStartWaveBadRequest(&body, retryAfter)
 		case http.StatusPreconditionFailed:
 			var (
-				body VerdictConflictResponseBody
+				body StartWaveConflictResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "verdict", err)
+				return nil, goahttp.ErrDecodingError("admin", "start_wave", err)
+			}
+			err = ValidateStartWaveConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateVerdictConflictResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "verdict", err)
+				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
 			}
-			return nil, NewVerdictConflict(&body)
+			return nil, NewStartWaveConflict(&body, retryAfter)
 		case http.StatusNotFound:
 			var (
-				body VerdictNotFoundResponseBody
+				body StartWaveNotFoundResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "verdict", err)
+				return nil, goahttp.ErrDecodingError("admin", "start_wave", err)
 			}
-			err = ValidateVerdictNotFoundResponseBody(&body)
+			err = ValidateStartWaveNotFoundResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "verdict", err)
+				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
 			}
-			return nil, NewVerdictNotFound(&body)
-		case http.StatusUnprocessableEntity:
 			var (
-				body VerdictRefusedResponseBody
-				err  error
+				retryAfter *int
 			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "verdict", err)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateVerdictRefusedResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "verdict", err)
+				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
 			}
-			return nil, NewVerdictRefused(&body)
-		case http.StatusUnauthorized:
+			return nil, NewStartWaveNotFound(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
 			var (
-				body VerdictUnauthorizedResponseBody
+				body StartWaveRefusedResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "verdict", err)
+				return nil, goahttp.ErrDecodingError("admin", "start_wave", err)
 			}
-			err = ValidateVerdictUnauthorizedResponseBody(&body)
+			err = ValidateStartWaveRefusedResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "verdict", err)
+				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
 			}
-			return nil, NewVerdictUnauthorized(&body)
-		case http.StatusServiceUnavailable:
 			var (
-				body VerdictUnavailableResponseBody
-				err  error
+				retryAfter *int
 			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "verdict", err)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateVerdictUnavailableResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "verdict", err)
+				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
 			}
-			return nil, NewVerdictUnavailable(&body)
-		case http.StatusGatewayTimeout:
+			return nil, NewStartWaveRefused(&body, retryAfter)
+		case http.StatusUnauthorized:
 			var (
-				body VerdictUnknownResponseBody
+				body StartWaveUnauthorizedResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "verdict", err)
+				return nil, goahttp.ErrDecodingError("admin", "start_wave", err)
 			}
-			err = ValidateVerdictUnknownResponseBody(&body)
+			err = ValidateStartWaveUnauthorizedResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "verdict", err)
+				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
 			}
-			return nil, NewVerdictUnknown(&body)
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("admin", "verdict", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildIssueKeyRequest instantiates a HTTP request object with method and path
-// set to call the "admin" service "issue_key" endpoint
-func (c *Client) BuildIssueKeyRequest(ctx context.Context, v any) (*http.Request, error) {
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: IssueKeyAdminPath()}
-	req, err := http.NewRequest("POST", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("admin", "issue_key", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
-
-// EncodeIssueKeyRequest returns an encoder for requests sent to the admin
-// issue_key server.
-func EncodeIssueKeyRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
-	return func(req *http.Request, v any) error {
-		p, ok := v.(*admin.IssueKeyPayload)
-		if !ok {
-			return goahttp.ErrInvalidType("admin", "issue_key", "*admin.IssueKeyPayload", v)
-		}
-		if p.Authorization != nil {
-			head := *p.Authorization
-			req.Header.Set("Authorization", head)
-		}
-		if p.RecordID != nil {
-			head := *p.RecordID
-			req.Header.Set("Idempotency-Key", head)
-		}
-		body := NewIssueKeyRequestBody(p)
-		if err := encoder(req).Encode(&body); err != nil {
-			return goahttp.ErrEncodingError("admin", "issue_key", err)
-		}
-		return nil
-	}
-}
-
-// DecodeIssueKeyResponse returns a decoder for responses returned by the admin
-// issue_key endpoint. restoreBody controls whether the response body should be
-// restored after having been read.
-// DecodeIssueKeyResponse may return the following errors:
-//   - "bad_request" (type *admin.Problem): http.StatusBadRequest
-//   - "conflict" (type *admin.Problem): http.StatusPreconditionFailed
-//   - "not_found" (type *admin.Problem): http.StatusNotFound
-//   - "refused" (type *admin.Problem): http.StatusUnprocessableEntity
-//   - "unauthorized" (type *admin.Problem): http.StatusUnauthorized
-//   - "unavailable" (type *admin.Problem): http.StatusServiceUnavailable
-//   - "unknown" (type *admin.Problem): http.StatusGatewayTimeout
-//   - error: internal error
-func DecodeIssueKeyResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
-	return func(resp *http.Response) (any, error) {
-		if restoreBody {
-			b, err := io.ReadAll(resp.Body)
-			if err != nil {
-				return nil, err
-			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusCreated:
-			var (
-				body IssueKeyResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "issue_key", err)
-			}
-			err = ValidateIssueKeyResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "issue_key", err)
-			}
-			res := NewIssueKeyResultCreated(&body)
-			return res, nil
-		case http.StatusBadRequest:
-			var (
-				body IssueKeyBadRequestResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "issue_key", err)
-			}
-			err = ValidateIssueKeyBadRequestResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "issue_key", err)
-			}
-			return nil, NewIssueKeyBadRequest(&body)
-		case http.StatusPreconditionFailed:
-			var (
-				body IssueKeyConflictResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "issue_key", err)
-			}
-			err = ValidateIssueKeyConflictResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "issue_key", err)
-			}
-			return nil, NewIssueKeyConflict(&body)
-		case http.StatusNotFound:
-			var (
-				body IssueKeyNotFoundResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "issue_key", err)
-			}
-			err = ValidateIssueKeyNotFoundResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "issue_key", err)
-			}
-			return nil, NewIssueKeyNotFound(&body)
-		case http.StatusUnprocessableEntity:
-			var (
-				body IssueKeyRefusedResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "issue_key", err)
-			}
-			err = ValidateIssueKeyRefusedResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "issue_key", err)
-			}
-			return nil, NewIssueKeyRefused(&body)
-		case http.StatusUnauthorized:
-			var (
-				body IssueKeyUnauthorizedResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "issue_key", err)
-			}
-			err = ValidateIssueKeyUnauthorizedResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "issue_key", err)
-			}
-			return nil, NewIssueKeyUnauthorized(&body)
-		case http.StatusServiceUnavailable:
-			var (
-				body IssueKeyUnavailableResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "issue_key", err)
-			}
-			err = ValidateIssueKeyUnavailableResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "issue_key", err)
-			}
-			return nil, NewIssueKeyUnavailable(&body)
-		case http.StatusGatewayTimeout:
-			var (
-				body IssueKeyUnknownResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "issue_key", err)
-			}
-			err = ValidateIssueKeyUnknownResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "issue_key", err)
-			}
-			return nil, NewIssueKeyUnknown(&body)
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("admin", "issue_key", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildWithdrawKeyRequest instantiates a HTTP request object with method and
-// path set to call the "admin" service "withdraw_key" endpoint
-func (c *Client) BuildWithdrawKeyRequest(ctx context.Context, v any) (*http.Request, error) {
-	var (
-		keyID string
-	)
-	{
-		p, ok := v.(*admin.WithdrawKeyPayload)
-		if !ok {
-			return nil, goahttp.ErrInvalidType("admin", "withdraw_key", "*admin.WithdrawKeyPayload", v)
-		}
-		keyID = p.KeyID
-	}
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: WithdrawKeyAdminPath(keyID)}
-	req, err := http.NewRequest("DELETE", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("admin", "withdraw_key", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
-
-// EncodeWithdrawKeyRequest returns an encoder for requests sent to the admin
-// withdraw_key server.
-func EncodeWithdrawKeyRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
-	return func(req *http.Request, v any) error {
-		p, ok := v.(*admin.WithdrawKeyPayload)
-		if !ok {
-			return goahttp.ErrInvalidType("admin", "withdraw_key", "*admin.WithdrawKeyPayload", v)
-		}
-		if p.Authorization != nil {
-			head := *p.Authorization
-			req.Header.Set("Authorization", head)
-		}
-		if p.RecordID != nil {
-			head := *p.RecordID
-			req.Header.Set("Idempotency-Key", head)
-		}
-		values := req.URL.Query()
-		values.Add("wait", fmt.Sprintf("%v", p.Wait))
-		req.URL.RawQuery = values.Encode()
-		return nil
-	}
-}
-
-// DecodeWithdrawKeyResponse returns a decoder for responses returned by the
-// admin withdraw_key endpoint. restoreBody controls whether the response body
-// should be restored after having been read.
-// DecodeWithdrawKeyResponse may return the following errors:
-//   - "bad_request" (type *admin.Problem): http.StatusBadRequest
-//   - "conflict" (type *admin.Problem): http.StatusPreconditionFailed
-//   - "not_found" (type *admin.Problem): http.StatusNotFound
-//   - "refused" (type *admin.Problem): http.StatusUnprocessableEntity
-//   - "unauthorized" (type *admin.Problem): http.StatusUnauthorized
-//   - "unavailable" (type *admin.Problem): http.StatusServiceUnavailable
-//   - "unknown" (type *admin.Problem): http.StatusGatewayTimeout
-//   - error: internal error
-func DecodeWithdrawKeyResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
-	return func(resp *http.Response) (any, error) {
-		if restoreBody {
-			b, err := io.ReadAll(resp.Body)
-			if err != nil {
-				return nil, err
-			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusOK:
-			var (
-				body WithdrawKeyResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "withdraw_key", err)
-			}
-			err = ValidateWithdrawKeyResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "withdraw_key", err)
-			}
-			res := NewWithdrawKeyVerdictOK(&body)
-			return res, nil
-		case http.StatusBadRequest:
-			var (
-				body WithdrawKeyBadRequestResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "withdraw_key", err)
-			}
-			err = ValidateWithdrawKeyBadRequestResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "withdraw_key", err)
-			}
-			return nil, NewWithdrawKeyBadRequest(&body)
-		case http.StatusPreconditionFailed:
-			var (
-				body WithdrawKeyConflictResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "withdraw_key", err)
-			}
-			err = ValidateWithdrawKeyConflictResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "withdraw_key", err)
-			}
-			return nil, NewWithdrawKeyConflict(&body)
-		case http.StatusNotFound:
-			var (
-				body WithdrawKeyNotFoundResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "withdraw_key", err)
-			}
-			err = ValidateWithdrawKeyNotFoundResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "withdraw_key", err)
-			}
-			return nil, NewWithdrawKeyNotFound(&body)
-		case http.StatusUnprocessableEntity:
-			var (
-				body WithdrawKeyRefusedResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "withdraw_key", err)
-			}
-			err = ValidateWithdrawKeyRefusedResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "withdraw_key", err)
-			}
-			return nil, NewWithdrawKeyRefused(&body)
-		case http.StatusUnauthorized:
-			var (
-				body WithdrawKeyUnauthorizedResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "withdraw_key", err)
-			}
-			err = ValidateWithdrawKeyUnauthorizedResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "withdraw_key", err)
-			}
-			return nil, NewWithdrawKeyUnauthorized(&body)
-		case http.StatusServiceUnavailable:
-			var (
-				body WithdrawKeyUnavailableResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "withdraw_key", err)
-			}
-			err = ValidateWithdrawKeyUnavailableResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "withdraw_key", err)
-			}
-			return nil, NewWithdrawKeyUnavailable(&body)
-		case http.StatusGatewayTimeout:
-			var (
-				body WithdrawKeyUnknownResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "withdraw_key", err)
-			}
-			err = ValidateWithdrawKeyUnknownResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "withdraw_key", err)
-			}
-			return nil, NewWithdrawKeyUnknown(&body)
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("admin", "withdraw_key", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildListKeysRequest instantiates a HTTP request object with method and path
-// set to call the "admin" service "list_keys" endpoint
-func (c *Client) BuildListKeysRequest(ctx context.Context, v any) (*http.Request, error) {
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ListKeysAdminPath()}
-	req, err := http.NewRequest("GET", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("admin", "list_keys", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
-
-// EncodeListKeysRequest returns an encoder for requests sent to the admin
-// list_keys server.
-func EncodeListKeysRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
-	return func(req *http.Request, v any) error {
-		p, ok := v.(*admin.ListKeysPayload)
-		if !ok {
-			return goahttp.ErrInvalidType("admin", "list_keys", "*admin.ListKeysPayload", v)
-		}
-		if p.Authorization != nil {
-			head := *p.Authorization
-			req.Header.Set("Authorization", head)
-		}
-		return nil
-	}
-}
-
-// DecodeListKeysResponse returns a decoder for responses returned by the admin
-// list_keys endpoint. restoreBody controls whether the response body should be
-// restored after having been read.
-// DecodeListKeysResponse may return the following errors:
-//   - "bad_request" (type *admin.Problem): http.StatusBadRequest
-//   - "conflict" (type *admin.Problem): http.StatusPreconditionFailed
-//   - "not_found" (type *admin.Problem): http.StatusNotFound
-//   - "refused" (type *admin.Problem): http.StatusUnprocessableEntity
-//   - "unauthorized" (type *admin.Problem): http.StatusUnauthorized
-//   - "unavailable" (type *admin.Problem): http.StatusServiceUnavailable
-//   - "unknown" (type *admin.Problem): http.StatusGatewayTimeout
-//   - error: internal error
-func DecodeListKeysResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
-	return func(resp *http.Response) (any, error) {
-		if restoreBody {
-			b, err := io.ReadAll(resp.Body)
-			if err != nil {
-				return nil, err
-			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusOK:
-			var (
-				body []*KeyViewResponse
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_keys", err)
-			}
-			for _, e := range body {
-				if e != nil {
-					if err2 := ValidateKeyViewResponse(e); err2 != nil {
-						err = goa.MergeErrors(err, err2)
-					}
-				}
-			}
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_keys", err)
-			}
-			res := NewListKeysKeyViewOK(body)
-			return res, nil
-		case http.StatusBadRequest:
-			var (
-				body ListKeysBadRequestResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_keys", err)
-			}
-			err = ValidateListKeysBadRequestResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_keys", err)
-			}
-			return nil, NewListKeysBadRequest(&body)
-		case http.StatusPreconditionFailed:
-			var (
-				body ListKeysConflictResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_keys", err)
-			}
-			err = ValidateListKeysConflictResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_keys", err)
-			}
-			return nil, NewListKeysConflict(&body)
-		case http.StatusNotFound:
-			var (
-				body ListKeysNotFoundResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_keys", err)
-			}
-			err = ValidateListKeysNotFoundResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_keys", err)
-			}
-			return nil, NewListKeysNotFound(&body)
-		case http.StatusUnprocessableEntity:
-			var (
-				body ListKeysRefusedResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_keys", err)
-			}
-			err = ValidateListKeysRefusedResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_keys", err)
-			}
-			return nil, NewListKeysRefused(&body)
-		case http.StatusUnauthorized:
-			var (
-				body ListKeysUnauthorizedResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_keys", err)
-			}
-			err = ValidateListKeysUnauthorizedResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_keys", err)
-			}
-			return nil, NewListKeysUnauthorized(&body)
-		case http.StatusServiceUnavailable:
-			var (
-				body ListKeysUnavailableResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_keys", err)
-			}
-			err = ValidateListKeysUnavailableResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_keys", err)
-			}
-			return nil, NewListKeysUnavailable(&body)
-		case http.StatusGatewayTimeout:
-			var (
-				body ListKeysUnknownResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_keys", err)
-			}
-			err = ValidateListKeysUnknownResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_keys", err)
-			}
-			return nil, NewListKeysUnknown(&body)
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("admin", "list_keys", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildListInstancesRequest instantiates a HTTP request object with method and
-// path set to call the "admin" service "list_instances" endpoint
-func (c *Client) BuildListInstancesRequest(ctx context.Context, v any) (*http.Request, error) {
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ListInstancesAdminPath()}
-	req, err := http.NewRequest("GET", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("admin", "list_instances", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
-
-// EncodeListInstancesRequest returns an encoder for requests sent to the admin
-// list_instances server.
-func EncodeListInstancesRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
-	return func(req *http.Request, v any) error {
-		p, ok := v.(*admin.ListInstancesPayload)
-		if !ok {
-			return goahttp.ErrInvalidType("admin", "list_instances", "*admin.ListInstancesPayload", v)
-		}
-		if p.Authorization != nil {
-			head := *p.Authorization
-			req.Header.Set("Authorization", head)
-		}
-		return nil
-	}
-}
-
-// DecodeListInstancesResponse returns a decoder for responses returned by the
-// admin list_instances endpoint. restoreBody controls whether the response
-// body should be restored after having been read.
-// DecodeListInstancesResponse may return the following errors:
-//   - "bad_request" (type *admin.Problem): http.StatusBadRequest
-//   - "conflict" (type *admin.Problem): http.StatusPreconditionFailed
-//   - "not_found" (type *admin.Problem): http.StatusNotFound
-//   - "refused" (type *admin.Problem): http.StatusUnprocessableEntity
-//   - "unauthorized" (type *admin.Problem): http.StatusUnauthorized
-//   - "unavailable" (type *admin.Problem): http.StatusServiceUnavailable
-//   - "unknown" (type *admin.Problem): http.StatusGatewayTimeout
-//   - error: internal error
-func DecodeListInstancesResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
-	return func(resp *http.Response) (any, error) {
-		if restoreBody {
-			b, err := io.ReadAll(resp.Body)
-			if err != nil {
-				return nil, err
-			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusOK:
-			var (
-				body []*InstanceViewResponse
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_instances", err)
-			}
-			for _, e := range body {
-				if e != nil {
-					if err2 := ValidateInstanceViewResponse(e); err2 != nil {
-						err = goa.MergeErrors(err, err2)
-					}
-				}
-			}
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_instances", err)
-			}
-			res := NewListInstancesInstanceViewOK(body)
-			return res, nil
-		case http.StatusBadRequest:
-			var (
-				body ListInstancesBadRequestResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_instances", err)
-			}
-			err = ValidateListInstancesBadRequestResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_instances", err)
-			}
-			return nil, NewListInstancesBadRequest(&body)
-		case http.StatusPreconditionFailed:
-			var (
-				body ListInstancesConflictResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_instances", err)
-			}
-			err = ValidateListInstancesConflictResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_instances", err)
-			}
-			return nil, NewListInstancesConflict(&body)
-		case http.StatusNotFound:
-			var (
-				body ListInstancesNotFoundResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_instances", err)
-			}
-			err = ValidateListInstancesNotFoundResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_instances", err)
-			}
-			return nil, NewListInstancesNotFound(&body)
-		case http.StatusUnprocessableEntity:
-			var (
-				body ListInstancesRefusedResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_instances", err)
-			}
-			err = ValidateListInstancesRefusedResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_instances", err)
-			}
-			return nil, NewListInstancesRefused(&body)
-		case http.StatusUnauthorized:
-			var (
-				body ListInstancesUnauthorizedResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_instances", err)
-			}
-			err = ValidateListInstancesUnauthorizedResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_instances", err)
-			}
-			return nil, NewListInstancesUnauthorized(&body)
-		case http.StatusServiceUnavailable:
-			var (
-				body ListInstancesUnavailableResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_instances", err)
-			}
-			err = ValidateListInstancesUnavailableResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_instances", err)
-			}
-			return nil, NewListInstancesUnavailable(&body)
-		case http.StatusGatewayTimeout:
-			var (
-				body ListInstancesUnknownResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_instances", err)
-			}
-			err = ValidateListInstancesUnknownResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_instances", err)
-			}
-			return nil, NewListInstancesUnknown(&body)
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("admin", "list_instances", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildListMembersRequest instantiates a HTTP request object with method and
-// path set to call the "admin" service "list_members" endpoint
-func (c *Client) BuildListMembersRequest(ctx context.Context, v any) (*http.Request, error) {
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ListMembersAdminPath()}
-	req, err := http.NewRequest("GET", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("admin", "list_members", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
-
-// EncodeListMembersRequest returns an encoder for requests sent to the admin
-// list_members server.
-func EncodeListMembersRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
-	return func(req *http.Request, v any) error {
-		p, ok := v.(*admin.ListMembersPayload)
-		if !ok {
-			return goahttp.ErrInvalidType("admin", "list_members", "*admin.ListMembersPayload", v)
-		}
-		if p.Authorization != nil {
-			head := *p.Authorization
-			req.Header.Set("Authorization", head)
-		}
-		return nil
-	}
-}
-
-// DecodeListMembersResponse returns a decoder for responses returned by the
-// admin list_members endpoint. restoreBody controls whether the response body
-// should be restored after having been read.
-// DecodeListMembersResponse may return the following errors:
-//   - "bad_request" (type *admin.Problem): http.StatusBadRequest
-//   - "conflict" (type *admin.Problem): http.StatusPreconditionFailed
-//   - "not_found" (type *admin.Problem): http.StatusNotFound
-//   - "refused" (type *admin.Problem): http.StatusUnprocessableEntity
-//   - "unauthorized" (type *admin.Problem): http.StatusUnauthorized
-//   - "unavailable" (type *admin.Problem): http.StatusServiceUnavailable
-//   - "unknown" (type *admin.Problem): http.StatusGatewayTimeout
-//   - error: internal error
-func DecodeListMembersResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
-	return func(resp *http.Response) (any, error) {
-		if restoreBody {
-			b, err := io.ReadAll(resp.Body)
-			if err != nil {
-				return nil, err
-			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusOK:
-			var (
-				body []*MemberViewResponse
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_members", err)
-			}
-			for _, e := range body {
-				if e != nil {
-					if err2 := ValidateMemberViewResponse(e); err2 != nil {
-						err = goa.MergeErrors(err, err2)
-					}
-				}
-			}
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_members", err)
-			}
-			res := NewListMembersMemberViewOK(body)
-			return res, nil
-		case http.StatusBadRequest:
-			var (
-				body ListMembersBadRequestResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_members", err)
-			}
-			err = ValidateListMembersBadRequestResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_members", err)
-			}
-			return nil, NewListMembersBadRequest(&body)
-		case http.StatusPreconditionFailed:
-			var (
-				body ListMembersConflictResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_members", err)
-			}
-			err = ValidateListMembersConflictResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_members", err)
-			}
-			return nil, NewListMembersConflict(&body)
-		case http.StatusNotFound:
-			var (
-				body ListMembersNotFoundResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_members", err)
-			}
-			err = ValidateListMembersNotFoundResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_members", err)
-			}
-			return nil, NewListMembersNotFound(&body)
-		case http.StatusUnprocessableEntity:
-			var (
-				body ListMembersRefusedResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_members", err)
-			}
-			err = ValidateListMembersRefusedResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_members", err)
-			}
-			return nil, NewListMembersRefused(&body)
-		case http.StatusUnauthorized:
-			var (
-				body ListMembersUnauthorizedResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_members", err)
-			}
-			err = ValidateListMembersUnauthorizedResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_members", err)
-			}
-			return nil, NewListMembersUnauthorized(&body)
-		case http.StatusServiceUnavailable:
-			var (
-				body ListMembersUnavailableResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_members", err)
-			}
-			err = ValidateListMembersUnavailableResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_members", err)
-			}
-			return nil, NewListMembersUnavailable(&body)
-		case http.StatusGatewayTimeout:
-			var (
-				body ListMembersUnknownResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_members", err)
-			}
-			err = ValidateListMembersUnknownResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_members", err)
-			}
-			return nil, NewListMembersUnknown(&body)
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("admin", "list_members", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildStartWaveRequest instantiates a HTTP request object with method and
-// path set to call the "admin" service "start_wave" endpoint
-func (c *Client) BuildStartWaveRequest(ctx context.Context, v any) (*http.Request, error) {
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: StartWaveAdminPath()}
-	req, err := http.NewRequest("POST", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("admin", "start_wave", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
-
-// EncodeStartWaveRequest returns an encoder for requests sent to the admin
-// start_wave server.
-func EncodeStartWaveRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
-	return func(req *http.Request, v any) error {
-		p, ok := v.(*admin.StartWavePayload)
-		if !ok {
-			return goahttp.ErrInvalidType("admin", "start_wave", "*admin.StartWavePayload", v)
-		}
-		if p.Authorization != nil {
-			head := *p.Authorization
-			req.Header.Set("Authorization", head)
-		}
-		if p.RecordID != nil {
-			head := *p.RecordID
-			req.Header.Set("Idempotency-Key", head)
-		}
-		body := NewStartWaveRequestBody(p)
-		if err := encoder(req).Encode(&body); err != nil {
-			return goahttp.ErrEncodingError("admin", "start_wave", err)
-		}
-		return nil
-	}
-}
-
-// DecodeStartWaveResponse returns a decoder for responses returned by the
-// admin start_wave endpoint. restoreBody controls whether the response body
-// should be restored after having been read.
-// DecodeStartWaveResponse may return the following errors:
-//   - "bad_request" (type *admin.Problem): http.StatusBadRequest
-//   - "conflict" (type *admin.Problem): http.StatusPreconditionFailed
-//   - "not_found" (type *admin.Problem): http.StatusNotFound
-//   - "refused" (type *admin.Problem): http.StatusUnprocessableEntity
-//   - "unauthorized" (type *admin.Problem): http.StatusUnauthorized
-//   - "unavailable" (type *admin.Problem): http.StatusServiceUnavailable
-//   - "unknown" (type *admin.Problem): http.StatusGatewayTimeout
-//   - error: internal error
-func DecodeStartWaveResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
-	return func(resp *http.Response) (any, error) {
-		if restoreBody {
-			b, err := io.ReadAll(resp.Body)
-			if err != nil {
-				return nil, err
-			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusCreated:
-			var (
-				body StartWaveResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "start_wave", err)
-			}
-			err = ValidateStartWaveResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
-			}
-			res := NewStartWaveWaveViewCreated(&body)
-			return res, nil
-		case http.StatusBadRequest:
-			var (
-				body StartWaveBadRequestResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "start_wave", err)
-			}
-			err = ValidateStartWaveBadRequestResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
-			}
-			return nil, NewStartWaveBadRequest(&body)
-		case http.StatusPreconditionFailed:
-			var (
-				body StartWaveConflictResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "start_wave", err)
-			}
-			err = ValidateStartWaveConflictResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
-			}
-			return nil, NewStartWaveConflict(&body)
-		case http.StatusNotFound:
-			var (
-				body StartWaveNotFoundResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "start_wave", err)
-			}
-			err = ValidateStartWaveNotFoundResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
-			}
-			return nil, NewStartWaveNotFound(&body)
-		case http.StatusUnprocessableEntity:
-			var (
-				body StartWaveRefusedResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "start_wave", err)
-			}
-			err = ValidateStartWaveRefusedResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
-			}
-			return nil, NewStartWaveRefused(&body)
-		case http.StatusUnauthorized:
-			var (
-				body StartWaveUnauthorizedResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "start_wave", err)
-			}
-			err = ValidateStartWaveUnauthorizedResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
-			}
-			return nil, NewStartWaveUnauthorized(&body)
-		case http.StatusServiceUnavailable:
-			var (
-				body StartWaveUnavailableResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "start_wave", err)
-			}
-			err = ValidateStartWaveUnavailableResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
-			}
-			return nil, NewStartWaveUnavailable(&body)
-		case http.StatusGatewayTimeout:
-			var (
-				body StartWaveUnknownResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "start_wave", err)
-			}
-			err = ValidateStartWaveUnknownResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
-			}
-			return nil, NewStartWaveUnknown(&body)
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("admin", "start_wave", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildListWavesRequest instantiates a HTTP request object with method and
-// path set to call the "admin" service "list_waves" endpoint
-func (c *Client) BuildListWavesRequest(ctx context.Context, v any) (*http.Request, error) {
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ListWavesAdminPath()}
-	req, err := http.NewRequest("GET", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("admin", "list_waves", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
-
-// EncodeListWavesRequest returns an encoder for requests sent to the admin
-// list_waves server.
-func EncodeListWavesRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
-	return func(req *http.Request, v any) error {
-		p, ok := v.(*admin.ListWavesPayload)
-		if !ok {
-			return goahttp.ErrInvalidType("admin", "list_waves", "*admin.ListWavesPayload", v)
-		}
-		if p.Authorization != nil {
-			head := *p.Authorization
-			req.Header.Set("Authorization", head)
-		}
-		return nil
-	}
-}
-
-// DecodeListWavesResponse returns a decoder for responses returned by the
-// admin list_waves endpoint. restoreBody controls whether the response body
-// should be restored after having been read.
-// DecodeListWavesResponse may return the following errors:
-//   - "bad_request" (type *admin.Problem): http.StatusBadRequest
-//   - "conflict" (type *admin.Problem): http.StatusPreconditionFailed
-//   - "not_found" (type *admin.Problem): http.StatusNotFound
-//   - "refused" (type *admin.Problem): http.StatusUnprocessableEntity
-//   - "unauthorized" (type *admin.Problem): http.StatusUnauthorized
-//   - "unavailable" (type *admin.Problem): http.StatusServiceUnavailable
-//   - "unknown" (type *admin.Problem): http.StatusGatewayTimeout
-//   - error: internal error
-func DecodeListWavesResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
-	return func(resp *http.Response) (any, error) {
-		if restoreBody {
-			b, err := io.ReadAll(resp.Body)
-			if err != nil {
-				return nil, err
-			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusOK:
-			var (
-				body []*WaveViewResponse
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_waves", err)
-			}
-			for _, e := range body {
-				if e != nil {
-					if err2 := ValidateWaveViewResponse(e); err2 != nil {
-						err = goa.MergeErrors(err, err2)
-					}
-				}
-			}
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_waves", err)
-			}
-			res := NewListWavesWaveViewOK(body)
-			return res, nil
-		case http.StatusBadRequest:
-			var (
-				body ListWavesBadRequestResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_waves", err)
-			}
-			err = ValidateListWavesBadRequestResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_waves", err)
-			}
-			return nil, NewListWavesBadRequest(&body)
-		case http.StatusPreconditionFailed:
-			var (
-				body ListWavesConflictResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_waves", err)
-			}
-			err = ValidateListWavesConflictResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_waves", err)
-			}
-			return nil, NewListWavesConflict(&body)
-		case http.StatusNotFound:
-			var (
-				body ListWavesNotFoundResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_waves", err)
-			}
-			err = ValidateListWavesNotFoundResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_waves", err)
-			}
-			return nil, NewListWavesNotFound(&body)
-		case http.StatusUnprocessableEntity:
-			var (
-				body ListWavesRefusedResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_waves", err)
-			}
-			err = ValidateListWavesRefusedResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_waves", err)
-			}
-			return nil, NewListWavesRefused(&body)
-		case http.StatusUnauthorized:
 			var (
-				body ListWavesUnauthorizedResponseBody
-				err  error
+				retryAfter *int
 			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_waves", err)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateListWavesUnauthorizedResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_waves", err)
+				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
 			}
-			return nil, NewListWavesUnauthorized(&body)
+			return nil, NewStartWaveUnauthorized(&body, retryAfter)
 		case http.StatusServiceUnavailable:
 			var (
-				body ListWavesUnavailableResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_waves", err)
-			}
-			err = ValidateListWavesUnavailableResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_waves", err)
-			}
-			return nil, NewListWavesUnavailable(&body)
-		case http.StatusGatewayTimeout:
-			var (
-				body ListWavesUnknownResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "list_waves", err)
-			}
-			err = ValidateListWavesUnknownResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "list_waves", err)
-			}
-			return nil, NewListWavesUnknown(&body)
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("admin", "list_waves", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildChangeWaveRequest instantiates a HTTP request object with method and
-// path set to call the "admin" service "change_wave" endpoint
-func (c *Client) BuildChangeWaveRequest(ctx context.Context, v any) (*http.Request, error) {
-	var (
-		wave   string
-		change string
-	)
-	{
-		p, ok := v.(*admin.ChangeWavePayload)
-		if !ok {
-			return nil, goahttp.ErrInvalidType("admin", "change_wave", "*admin.ChangeWavePayload", v)
-		}
-		wave = p.Wave
-		change = p.Change
-	}
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ChangeWaveAdminPath(wave, change)}
-	req, err := http.NewRequest("POST", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("admin", "change_wave", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
-
-// EncodeChangeWaveRequest returns an encoder for requests sent to the admin
-// change_wave server.
-func EncodeChangeWaveRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
-	return func(req *http.Request, v any) error {
-		p, ok := v.(*admin.ChangeWavePayload)
-		if !ok {
-			return goahttp.ErrInvalidType("admin", "change_wave", "*admin.ChangeWavePayload", v)
-		}
-		if p.Authorization != nil {
-			head := *p.Authorization
-			req.Header.Set("Authorization", head)
-		}
-		if p.RecordID != nil {
-			head := *p.RecordID
-			req.Header.Set("Idempotency-Key", head)
-		}
-		values := req.URL.Query()
-		if p.Reason != nil {
-			values.Add("reason", *p.Reason)
-		}
-		req.URL.RawQuery = values.Encode()
-		return nil
-	}
-}
-
-// DecodeChangeWaveResponse returns a decoder for responses returned by the
-// admin change_wave endpoint. restoreBody controls whether the response body
-// should be restored after having been read.
-// DecodeChangeWaveResponse may return the following errors:
-//   - "bad_request" (type *admin.Problem): http.StatusBadRequest
-//   - "conflict" (type *admin.Problem): http.StatusPreconditionFailed
-//   - "not_found" (type *admin.Problem): http.StatusNotFound
-//   - "refused" (type *admin.Problem): http.StatusUnprocessableEntity
-//   - "unauthorized" (type *admin.Problem): http.StatusUnauthorized
-//   - "unavailable" (type *admin.Problem): http.StatusServiceUnavailable
-//   - "unknown" (type *admin.Problem): http.StatusGatewayTimeout
-//   - error: internal error
-func DecodeChangeWaveResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
-	return func(resp *http.Response) (any, error) {
-		if restoreBody {
-			b, err := io.ReadAll(resp.Body)
-			if err != nil {
-				return nil, err
-			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusOK:
-			var (
-				body ChangeWaveResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "change_wave", err)
-			}
-			err = ValidateChangeWaveResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "change_wave", err)
-			}
-			res := NewChangeWaveWaveViewOK(&body)
-			return res, nil
-		case http.StatusBadRequest:
-			var (
-				body ChangeWaveBadRequestResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "change_wave", err)
-			}
-			err = ValidateChangeWaveBadRequestResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "change_wave", err)
-			}
-			return nil, NewChangeWaveBadRequest(&body)
-		case http.StatusPreconditionFailed:
-			var (
-				body ChangeWaveConflictResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "change_wave", err)
-			}
-			err = ValidateChangeWaveConflictResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "change_wave", err)
-			}
-			return nil, NewChangeWaveConflict(&body)
-		case http.StatusNotFound:
-			var (
-				body ChangeWaveNotFoundResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "change_wave", err)
-			}
-			err = ValidateChangeWaveNotFoundResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "change_wave", err)
-			}
-			return nil, NewChangeWaveNotFound(&body)
-		case http.StatusUnprocessableEntity:
-			var (
-				body ChangeWaveRefusedResponseBody
+				body StartWaveUnavailableResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "change_wave", err)
+				return nil, goahttp.ErrDecodingError("admin", "start_wave", err)
 			}
-			err = ValidateChangeWaveRefusedResponseBody(&body)
+			err = ValidateStartWaveUnavailableResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "change_wave", err)
+				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
 			}
-			return nil, NewChangeWaveRefused(&body)
-		case http.StatusUnauthorized:
 			var (
-				body ChangeWaveUnauthorizedResponseBody
-				err  error
+				retryAfter *int
 			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "change_wave", err)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateChangeWaveUnauthorizedResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "change_wave", err)
+				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
 			}
-			return nil, NewChangeWaveUnauthorized(&body)
-		case http.StatusServiceUnavailable:
+			return nil, NewStartWaveUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
 			var (
-				body ChangeWaveUnavailableResponseBody
+				body StartWaveUnknownResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "change_wave", err)
+				return nil, goahttp.ErrDecodingError("admin", "start_wave", err)
 			}
-			err = ValidateChangeWaveUnavailableResponseBody(&body)
+			err = ValidateStartWaveUnknownResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "change_wave", err)
+				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
 			}
-			return nil, NewChangeWaveUnavailable(&body)
-		case http.StatusGatewayTimeout:
 			var (
-				body ChangeWaveUnknownResponseBody
-				err  error
+				retryAfter *int
 			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("admin", "change_wave", err)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateChangeWaveUnknownResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("admin", "change_wave", err)
+				return nil, goahttp.ErrValidationError("admin", "start_wave", err)
 			}
-			return nil, NewChangeWaveUnknown(&body)
+			return nil, NewStartWaveUnknown(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("admin", "change_wave", resp.StatusCode, string(body))
+			return nil, goahttp.ErrInvalidResponse("admin", "start_wave", resp.StatusCode, string(body))
 		}
 	}
 }
@@ -2374,7 +1329,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "report_burn", err)
 			}
-			return nil, NewReportBurnBadRequest(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "report_burn", err)
+			}
+			return nil, NewReportBurnBadRequest(&body, retryAfter)
 		case http.StatusPreconditionFailed:
 			var (
 				body ReportBurnConflictResponseBody
@@ -2388,7 +1360,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "report_burn", err)
 			}
-			return nil, NewReportBurnConflict(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "report_burn", err)
+			}
+			return nil, NewReportBurnConflict(&body, retryAfter)
 		case http.StatusNotFound:
 			var (
 				body ReportBurnNotFoundResponseBody
@@ -2402,7 +1391,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "report_burn", err)
 			}
-			return nil, NewReportBurnNotFound(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "report_burn", err)
+			}
+			return nil, NewReportBurnNotFound(&body, retryAfter)
 		case http.StatusUnprocessableEntity:
 			var (
 				body ReportBurnRefusedResponseBody
@@ -2416,7 +1422,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "report_burn", err)
 			}
-			return nil, NewReportBurnRefused(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "report_burn", err)
+			}
+			return nil, NewReportBurnRefused(&body, retryAfter)
 		case http.StatusUnauthorized:
 			var (
 				body ReportBurnUnauthorizedResponseBody
@@ -2430,7 +1453,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "report_burn", err)
 			}
-			return nil, NewReportBurnUnauthorized(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "report_burn", err)
+			}
+			return nil, NewReportBurnUnauthorized(&body, retryAfter)
 		case http.StatusServiceUnavailable:
 			var (
 				body ReportBurnUnavailableResponseBody
@@ -2444,7 +1484,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "report_burn", err)
 			}
-			return nil, NewReportBurnUnavailable(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "report_burn", err)
+			}
+			return nil, NewReportBurnUnavailable(&body, retryAfter)
 		case http.StatusGatewayTimeout:
 			var (
 				body ReportBurnUnknownResponseBody
@@ -2458,7 +1515,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "report_burn", err)
 			}
-			return nil, NewReportBurnUnknown(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "report_burn", err)
+			}
+			return nil, NewReportBurnUnknown(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("admin", "report_burn", resp.StatusCode, string(body))
@@ -2480,132 +1554,32 @@
 	return res
 }
 
-// unmarshalMemberProgressResponseBodyToAdminMemberProgress builds a value of
-// type *admin.MemberProgress from a value of type *MemberProgressResponseBody.
-func unmarshalMemberProgressResponseBodyToAdminMemberProgress(v *MemberProgressResponseBody) *admin.MemberProgress {
-	if v == nil {
-		return nil
-	}
-	res := &admin.MemberProgress{
-		Member:  *v.Member,
-		InForce: *v.InForce,
-		AfterMs: *v.AfterMs,
-	}
-
-	return res
-}
-
-// unmarshalChangeResponseToAdminChange builds a value of type *admin.Change
-// from a value of type *ChangeResponse.
-func unmarshalChangeResponseToAdminChange(v *ChangeResponse) *admin.Change {
-	res := &admin.Change{
-		Version: *v.Version,
-		Offset:  *v.Offset,
-		Record:  *v.Record,
-		Author:  v.Author,
-	}
-
-	return res
-}
-
-// unmarshalVerdictResponseBodyToAdminVerdict builds a value of type
-// *admin.Verdict from a value of type *VerdictResponseBody.
-func unmarshalVerdictResponseBodyToAdminVerdict(v *VerdictResponseBody) *admin.Verdict {
-	res := &admin.Verdict{
-		ID:      *v.ID,
-		Outcome: *v.Outcome,
-		Version: *v.Version,
-		Offset:  *v.Offset,
-	}
-	if v.Findings != nil {
-		res.Findings = make([]*admin.Finding, len(v.Findings))
-		for i, val := range v.Findings {
-			if val == nil {
-				res.Findings[i] = nil
-				continue
-			}
-			res.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-	if v.Members != nil {
-		res.Members = make([]*admin.MemberProgress, len(v.Members))
-		for i, val := range v.Members {
-			if val == nil {
-				res.Members[i] = nil
-				continue
-			}
-			res.Members[i] = unmarshalMemberProgressResponseBodyToAdminMemberProgress(val)
-		}
-	}
-
-	return res
-}
-
-// unmarshalKeyViewResponseToAdminKeyView builds a value of type *admin.KeyView
-// from a value of type *KeyViewResponse.
-func unmarshalKeyViewResponseToAdminKeyView(v *KeyViewResponse) *admin.KeyView {
-	res := &admin.KeyView{
-		KeyID:  *v.KeyID,
-		Team:   *v.Team,
-		Issued: *v.Issued,
-	}
-
-	return res
-}
-
-// unmarshalInstanceViewResponseToAdminInstanceView builds a value of type
-// *admin.InstanceView from a value of type *InstanceViewResponse.
-func unmarshalInstanceViewResponseToAdminInstanceView(v *InstanceViewResponse) *admin.InstanceView {
-	res := &admin.InstanceView{
-		ID:           *v.ID,
-		Pool:         *v.Pool,
-		Zone:         *v.Zone,
-		Rack:         *v.Rack,
-		Phase:        *v.Phase,
-		Healthy:      *v.Healthy,
-		Wave:         v.Wave,
-		MaintainedIn: v.MaintainedIn,
+// unmarshalWorkerViewResponseBodyToAdminWorkerView builds a value of type
+// *admin.WorkerView from a value of type *WorkerViewResponseBody.
+func unmarshalWorkerViewResponseBodyToAdminWorkerView(v *WorkerViewResponseBody) *admin.WorkerView {
+	res := &admin.WorkerView{
+		ID:        *v.ID,
+		Pool:      *v.Pool,
+		Zone:      *v.Zone,
+		Rack:      *v.Rack,
+		Instance:  *v.Instance,
+		Phase:     *v.Phase,
+		Runs:      *v.Runs,
+		UsedCores: *v.UsedCores,
+		Cores:     *v.Cores,
 	}
 
 	return res
 }
 
-// unmarshalMemberViewResponseToAdminMemberView builds a value of type
-// *admin.MemberView from a value of type *MemberViewResponse.
-func unmarshalMemberViewResponseToAdminMemberView(v *MemberViewResponse) *admin.MemberView {
-	res := &admin.MemberView{
-		Name:        *v.Name,
-		Incarnation: *v.Incarnation,
-		Address:     *v.Address,
-		Zone:        *v.Zone,
-	}
-
-	return res
-}
-
-// unmarshalWaveViewResponseToAdminWaveView builds a value of type
-// *admin.WaveView from a value of type *WaveViewResponse.
-func unmarshalWaveViewResponseToAdminWaveView(v *WaveViewResponse) *admin.WaveView {
+// unmarshalWaveViewResponseBodyToAdminWaveView builds a value of type
+// *admin.WaveView from a value of type *WaveViewResponseBody.
+func unmarshalWaveViewResponseBodyToAdminWaveView(v *WaveViewResponseBody) *admin.WaveView {
 	res := &admin.WaveView{
-		Wave:        *v.Wave,
-		Action:      *v.Action,
-		To:          v.To,
-		Status:      *v.Status,
-		Reason:      v.Reason,
-		Total:       *v.Total,
-		Done:        *v.Done,
-		Out:         *v.Out,
-		ExpectedEnd: v.ExpectedEnd,
-	}
-	res.Pools = make([]string, len(v.Pools))
-	for i, val := range v.Pools {
-		res.Pools[i] = val
-	}
-	if v.Order != nil {
-		res.Order = make([]string, len(v.Order))
-		for i, val := range v.Order {
-			res.Order[i] = val
-		}
+		Number: *v.Number,
+		Status: *v.Status,
+		Total:  *v.Total,
+		Begun:  *v.Begun,
 	}
 
 	return res
@@ -2615,13 +1589,13 @@
 // type *admin.BurnObjective from a value of type *BurnObjectiveResponseBody.
 func unmarshalBurnObjectiveResponseBodyToAdminBurnObjective(v *BurnObjectiveResponseBody) *admin.BurnObjective {
 	res := &admin.BurnObjective{
-		Name:        *v.Name,
-		Pool:        *v.Pool,
-		Team:        *v.Team,
-		Target:      *v.Target,
-		LatencyMs:   *v.LatencyMs,
-		WindowHours: *v.WindowHours,
-		BudgetLeft:  *v.BudgetLeft,
+		Name:         *v.Name,
+		Queue:        *v.Queue,
+		Organisation: *v.Organisation,
+		Target:       *v.Target,
+		LatencyMs:    *v.LatencyMs,
+		WindowHours:  *v.WindowHours,
+		BudgetLeft:   *v.BudgetLeft,
 	}
 	res.Windows = make([]*admin.BurnWindow, len(v.Windows))
 	for i, val := range v.Windows {
