--- a/gen/http/admin/client/types.go
+++ b/gen/http/admin/client/types.go
@@ -12,29 +12,23 @@
 	goa "goa.design/goa/v3/pkg"
 )
 
-// IssueKeyRequestBody is the type of the "admin" service "issue_key" endpoint
-// HTTP request body.
-type IssueKeyRequestBody struct {
-	Team string `form:"team" json:"team" xml:"team"`
-}
-
 // StartWaveRequestBody is the type of the "admin" service "start_wave"
 // endpoint HTTP request body.
 type StartWaveRequestBody struct {
-	Wave        string   `form:"wave" json:"wave" xml:"wave"`
-	Action      string   `form:"action" json:"action" xml:"action"`
-	Pools       []string `form:"pools" json:"pools" xml:"pools"`
-	Instances   []string `form:"instances,omitempty" json:"instances,omitempty" xml:"instances,omitempty"`
-	To          *string  `form:"to,omitempty" json:"to,omitempty" xml:"to,omitempty"`
-	MaxParallel int      `form:"max_parallel" json:"max_parallel" xml:"max_parallel"`
-	DryRun      bool     `form:"dry_run" json:"dry_run" xml:"dry_run"`
+	// Number that no other wave has
+	Number    int64    `form:"number" json:"number" xml:"number"`
+	Instances []string `form:"instances" json:"instances" xml:"instances"`
+	// Instances that may be down for the wave at a time
+	AtOnce int `form:"at_once" json:"at_once" xml:"at_once"`
+	// Time in seconds in which the wave is to be over
+	DeadlineS float64 `form:"deadline_s" json:"deadline_s" xml:"deadline_s"`
 }
 
 // GetConfigResponseBody is the type of the "admin" service "get_config"
 // endpoint HTTP response body.
 type GetConfigResponseBody struct {
 	// Configuration version
-	Version *uint64 `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
+	Version *int64 `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
 	// Configuration document
 	Document any `form:"document,omitempty" json:"document,omitempty" xml:"document,omitempty"`
 }
@@ -42,103 +36,32 @@
 // PatchConfigResponseBody is the type of the "admin" service "patch_config"
 // endpoint HTTP response body.
 type PatchConfigResponseBody struct {
-	// Record ID; asking again with it gives the same verdict
-	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
-	// Decision
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Configuration version after the record
-	Version *uint64 `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
-	// Log offset of the record
-	Offset *uint64 `form:"offset,omitempty" json:"offset,omitempty" xml:"offset,omitempty"`
-	// Reasons of a refusal
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-	// When each entry instance had it in force, if asked to wait
-	Members []*MemberProgressResponseBody `form:"members,omitempty" json:"members,omitempty" xml:"members,omitempty"`
-}
-
-// VerdictResponseBody is the type of the "admin" service "verdict" endpoint
-// HTTP response body.
-type VerdictResponseBody struct {
-	// Record ID; asking again with it gives the same verdict
-	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
-	// Decision
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Configuration version after the record
-	Version *uint64 `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
-	// Log offset of the record
-	Offset *uint64 `form:"offset,omitempty" json:"offset,omitempty" xml:"offset,omitempty"`
-	// Reasons of a refusal
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-	// When each entry instance had it in force, if asked to wait
-	Members []*MemberProgressResponseBody `form:"members,omitempty" json:"members,omitempty" xml:"members,omitempty"`
-}
-
-// IssueKeyResponseBody is the type of the "admin" service "issue_key" endpoint
-// HTTP response body.
-type IssueKeyResponseBody struct {
-	KeyID *string `form:"key_id,omitempty" json:"key_id,omitempty" xml:"key_id,omitempty"`
-	// The secret that the team presents
-	Key     *string              `form:"key,omitempty" json:"key,omitempty" xml:"key,omitempty"`
-	Verdict *VerdictResponseBody `form:"verdict,omitempty" json:"verdict,omitempty" xml:"verdict,omitempty"`
+	// Configuration version
+	Version *int64 `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
+	// Configuration document
+	Document any `form:"document,omitempty" json:"document,omitempty" xml:"document,omitempty"`
 }
 
-// WithdrawKeyResponseBody is the type of the "admin" service "withdraw_key"
+// ShowFleetResponseBody is the type of the "admin" service "show_fleet"
 // endpoint HTTP response body.
-type WithdrawKeyResponseBody struct {
-	// Record ID; asking again with it gives the same verdict
-	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
-	// Decision
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Configuration version after the record
-	Version *uint64 `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
-	// Log offset of the record
-	Offset *uint64 `form:"offset,omitempty" json:"offset,omitempty" xml:"offset,omitempty"`
-	// Reasons of a refusal
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-	// When each entry instance had it in force, if asked to wait
-	Members []*MemberProgressResponseBody `form:"members,omitempty" json:"members,omitempty" xml:"members,omitempty"`
+type ShowFleetResponseBody struct {
+	// Entry instance that decides
+	Owner *string `form:"owner,omitempty" json:"owner,omitempty" xml:"owner,omitempty"`
+	// Number that rises with every change of the owner
+	Term    *int64                    `form:"term,omitempty" json:"term,omitempty" xml:"term,omitempty"`
+	Workers []*WorkerViewResponseBody `form:"workers,omitempty" json:"workers,omitempty" xml:"workers,omitempty"`
+	Waves   []*WaveViewResponseBody   `form:"waves,omitempty" json:"waves,omitempty" xml:"waves,omitempty"`
 }
 
 // StartWaveResponseBody is the type of the "admin" service "start_wave"
 // endpoint HTTP response body.
 type StartWaveResponseBody struct {
-	Wave   *string  `form:"wave,omitempty" json:"wave,omitempty" xml:"wave,omitempty"`
-	Action *string  `form:"action,omitempty" json:"action,omitempty" xml:"action,omitempty"`
-	Pools  []string `form:"pools,omitempty" json:"pools,omitempty" xml:"pools,omitempty"`
-	To     *string  `form:"to,omitempty" json:"to,omitempty" xml:"to,omitempty"`
-	Status *string  `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	Reason *string  `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Instances of the wave
-	Total *int `form:"total,omitempty" json:"total,omitempty" xml:"total,omitempty"`
-	// Instances that are back in service
-	Done *int `form:"done,omitempty" json:"done,omitempty" xml:"done,omitempty"`
-	// Instances that are out of service for the wave
-	Out *int `form:"out,omitempty" json:"out,omitempty" xml:"out,omitempty"`
-	// Instances that are still to be taken out, in planned order, for a dry run
-	Order []string `form:"order,omitempty" json:"order,omitempty" xml:"order,omitempty"`
-	// Expected end (RFC 3339) from the pace so far, once an instance has returned
-	ExpectedEnd *string `form:"expected_end,omitempty" json:"expected_end,omitempty" xml:"expected_end,omitempty"`
-}
-
-// ChangeWaveResponseBody is the type of the "admin" service "change_wave"
-// endpoint HTTP response body.
-type ChangeWaveResponseBody struct {
-	Wave   *string  `form:"wave,omitempty" json:"wave,omitempty" xml:"wave,omitempty"`
-	Action *string  `form:"action,omitempty" json:"action,omitempty" xml:"action,omitempty"`
-	Pools  []string `form:"pools,omitempty" json:"pools,omitempty" xml:"pools,omitempty"`
-	To     *string  `form:"to,omitempty" json:"to,omitempty" xml:"to,omitempty"`
-	Status *string  `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	Reason *string  `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Instances of the wave
+	Number *int64  `form:"number,omitempty" json:"number,omitempty" xml:"number,omitempty"`
+	Status *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	// Instances that the wave asks for
 	Total *int `form:"total,omitempty" json:"total,omitempty" xml:"total,omitempty"`
-	// Instances that are back in service
-	Done *int `form:"done,omitempty" json:"done,omitempty" xml:"done,omitempty"`
-	// Instances that are out of service for the wave
-	Out *int `form:"out,omitempty" json:"out,omitempty" xml:"out,omitempty"`
-	// Instances that are still to be taken out, in planned order, for a dry run
-	Order []string `form:"order,omitempty" json:"order,omitempty" xml:"order,omitempty"`
-	// Expected end (RFC 3339) from the pace so far, once an instance has returned
-	ExpectedEnd *string `form:"expected_end,omitempty" json:"expected_end,omitempty" xml:"expected_end,omitempty"`
+	// Instances whose upkeep has begun or is over
+	Begun *int `form:"begun,omitempty" json:"begun,omitempty" xml:"begun,omitempty"`
 }
 
 // ReportBurnResponseBody is the type of the "admin" service "report_burn"
@@ -147,9 +70,7 @@
 	// Time of the report (RFC 3339)
 	At *string `form:"at,omitempty" json:"at,omitempty" xml:"at,omitempty"`
 	// Entry instances whose counters are included
-	Members []string `form:"members,omitempty" json:"members,omitempty" xml:"members,omitempty"`
-	// Entry instances that did not answer; their requests are not counted
-	Missing    []string                     `form:"missing,omitempty" json:"missing,omitempty" xml:"missing,omitempty"`
+	Members    []string                     `form:"members,omitempty" json:"members,omitempty" xml:"members,omitempty"`
 	Objectives []*BurnObjectiveResponseBody `form:"objectives,omitempty" json:"objectives,omitempty" xml:"objectives,omitempty"`
 }
 
@@ -170,10 +91,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -195,10 +116,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -220,10 +141,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -245,10 +166,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -270,10 +191,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -295,10 +216,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -320,10 +241,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -345,10 +266,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -370,10 +291,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -395,10 +316,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -420,10 +341,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -445,10 +366,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -470,10 +391,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -495,17 +416,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// ConfigHistoryBadRequestResponseBody is the type of the "admin" service
-// "config_history" endpoint HTTP response body for the "bad_request" error.
-type ConfigHistoryBadRequestResponseBody struct {
+// ShowFleetBadRequestResponseBody is the type of the "admin" service
+// "show_fleet" endpoint HTTP response body for the "bad_request" error.
+type ShowFleetBadRequestResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -520,17 +441,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// ConfigHistoryConflictResponseBody is the type of the "admin" service
-// "config_history" endpoint HTTP response body for the "conflict" error.
-type ConfigHistoryConflictResponseBody struct {
+// ShowFleetConflictResponseBody is the type of the "admin" service
+// "show_fleet" endpoint HTTP response body for the "conflict" error.
+type ShowFleetConflictResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -545,17 +466,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// ConfigHistoryNotFoundResponseBody is the type of the "admin" service
-// "config_history" endpoint HTTP response body for the "not_found" error.
-type ConfigHistoryNotFoundResponseBody struct {
+// ShowFleetNotFoundResponseBody is the type of the "admin" service
+// "show_fleet" endpoint HTTP response body for the "not_found" error.
+type ShowFleetNotFoundResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -570,17 +491,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// ConfigHistoryRefusedResponseBody is the type of the "admin" service
-// "config_history" endpoint HTTP response body for the "refused" error.
-type ConfigHistoryRefusedResponseBody struct {
+// ShowFleetRefusedResponseBody is the type of the "admin" service "show_fleet"
+// endpoint HTTP response body for the "refused" error.
+type ShowFleetRefusedResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -595,17 +516,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// ConfigHistoryUnauthorizedResponseBody is the type of the "admin" service
-// "config_history" endpoint HTTP response body for the "unauthorized" error.
-type ConfigHistoryUnauthorizedResponseBody struct {
+// ShowFleetUnauthorizedResponseBody is the type of the "admin" service
+// "show_fleet" endpoint HTTP response body for the "unauthorized" error.
+type ShowFleetUnauthorizedResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -620,17 +541,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// ConfigHistoryUnavailableResponseBody is the type of the "admin" service
-// "config_history" endpoint HTTP response body for the "unavailable" error.
-type ConfigHistoryUnavailableResponseBody struct {
+// ShowFleetUnavailableResponseBody is the type of the "admin" service
+// "show_fleet" endpoint HTTP response body for the "unavailable" error.
+type ShowFleetUnavailableResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -645,17 +566,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// ConfigHistoryUnknownResponseBody is the type of the "admin" service
-// "config_history" endpoint HTTP response body for the "unknown" error.
-type ConfigHistoryUnknownResponseBody struct {
+// ShowFleetUnknownResponseBody is the type of the "admin" service "show_fleet"
+// endpoint HTTP response body for the "unknown" error.
+type ShowFleetUnknownResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -670,17 +591,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// VerdictBadRequestResponseBody is the type of the "admin" service "verdict"
-// endpoint HTTP response body for the "bad_request" error.
-type VerdictBadRequestResponseBody struct {
+// StartWaveBadRequestResponseBody is the type of the "admin" service
+// "start_wave" endpoint HTTP response body for the "bad_request" error.
+type StartWaveBadRequestResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -695,17 +616,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// VerdictConflictResponseBody is the type of the "admin" service "verdict"
-// endpoint HTTP response body for the "conflict" error.
-type VerdictConflictResponseBody struct {
+// StartWaveConflictResponseBody is the type of the "admin" service
+// "start_wave" endpoint HTTP response body for the "conflict" error.
+type StartWaveConflictResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -720,17 +641,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// VerdictNotFoundResponseBody is the type of the "admin" service "verdict"
-// endpoint HTTP response body for the "not_found" error.
-type VerdictNotFoundResponseBody struct {
+// StartWaveNotFoundResponseBody is the type of the "admin" service
+// "start_wave" endpoint HTTP response body for the "not_found" error.
+type StartWaveNotFoundResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -745,17 +666,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// VerdictRefusedResponseBody is the type of the "admin" service "verdict"
+// StartWaveRefusedResponseBody is the type of the "admin" service "start_wave"
 // endpoint HTTP response body for the "refused" error.
-type VerdictRefusedResponseBody struct {
+type StartWaveRefusedResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -770,17 +691,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// VerdictUnauthorizedResponseBody is the type of the "admin" service "verdict"
-// endpoint HTTP response body for the "unauthorized" error.
-type VerdictUnauthorizedResponseBody struct {
+// StartWaveUnauthorizedResponseBody is the type of the "admin" service
+// "start_wave" endpoint HTTP response body for the "unauthorized" error.
+type StartWaveUnauthorizedResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -795,17 +716,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// VerdictUnavailableResponseBody is the type of the "admin" service "verdict"
-// endpoint HTTP response body for the "unavailable" error.
-type VerdictUnavailableResponseBody struct {
+// StartWaveUnavailableResponseBody is the type of the "admin" service
+// "start_wave" endpoint HTTP response body for the "unavailable" error.
+type StartWaveUnavailableResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -820,17 +741,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// VerdictUnknownResponseBody is the type of the "admin" service "verdict"
+// StartWaveUnknownResponseBody is the type of the "admin" service "start_wave"
 // endpoint HTTP response body for the "unknown" error.
-type VerdictUnknownResponseBody struct {
+type StartWaveUnknownResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -845,17 +766,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// IssueKeyBadRequestResponseBody is the type of the "admin" service
-// "issue_key" endpoint HTTP response body for the "bad_request" error.
-type IssueKeyBadRequestResponseBody struct {
+// ReportBurnBadRequestResponseBody is the type of the "admin" service
+// "report_burn" endpoint HTTP response body for the "bad_request" error.
+type ReportBurnBadRequestResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -870,17 +791,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// IssueKeyConflictResponseBody is the type of the "admin" service "issue_key"
-// endpoint HTTP response body for the "conflict" error.
-type IssueKeyConflictResponseBody struct {
+// ReportBurnConflictResponseBody is the type of the "admin" service
+// "report_burn" endpoint HTTP response body for the "conflict" error.
+type ReportBurnConflictResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -895,17 +816,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// IssueKeyNotFoundResponseBody is the type of the "admin" service "issue_key"
-// endpoint HTTP response body for the "not_found" error.
-type IssueKeyNotFoundResponseBody struct {
+// ReportBurnNotFoundResponseBody is the type of the "admin" service
+// "report_burn" endpoint HTTP response body for the "not_found" error.
+type ReportBurnNotFoundResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -920,17 +841,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// IssueKeyRefusedResponseBody is the type of the "admin" service "issue_key"
-// endpoint HTTP response body for the "refused" error.
-type IssueKeyRefusedResponseBody struct {
+// ReportBurnRefusedResponseBody is the type of the "admin" service
+// "report_burn" endpoint HTTP response body for the "refused" error.
+type ReportBurnRefusedResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -945,17 +866,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// IssueKeyUnauthorizedResponseBody is the type of the "admin" service
-// "issue_key" endpoint HTTP response body for the "unauthorized" error.
-type IssueKeyUnauthorizedResponseBody struct {
+// ReportBurnUnauthorizedResponseBody is the type of the "admin" service
+// "report_burn" endpoint HTTP response body for the "unauthorized" error.
+type ReportBurnUnauthorizedResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -970,17 +891,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// IssueKeyUnavailableResponseBody is the type of the "admin" service
-// "issue_key" endpoint HTTP response body for the "unavailable" error.
-type IssueKeyUnavailableResponseBody struct {
+// ReportBurnUnavailableResponseBody is the type of the "admin" service
+// "report_burn" endpoint HTTP response body for the "unavailable" error.
+type ReportBurnUnavailableResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -995,17 +916,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// IssueKeyUnknownResponseBody is the type of the "admin" service "issue_key"
-// endpoint HTTP response body for the "unknown" error.
-type IssueKeyUnknownResponseBody struct {
+// ReportBurnUnknownResponseBody is the type of the "admin" service
+// "report_burn" endpoint HTTP response body for the "unknown" error.
+type ReportBurnUnknownResponseBody struct {
 	// Error name
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// URI reference that identifies the problem type
@@ -1020,6396 +941,1264 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// WithdrawKeyBadRequestResponseBody is the type of the "admin" service
-// "withdraw_key" endpoint HTTP response body for the "bad_request" error.
-type WithdrawKeyBadRequestResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+// FindingResponseBody is used to define fields on response body types.
+type FindingResponseBody struct {
+	// JSON pointer
+	Place *string `form:"place,omitempty" json:"place,omitempty" xml:"place,omitempty"`
+	// What is wrong
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
 }
 
-// WithdrawKeyConflictResponseBody is the type of the "admin" service
-// "withdraw_key" endpoint HTTP response body for the "conflict" error.
-type WithdrawKeyConflictResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+// WorkerViewResponseBody is used to define fields on response body types.
+type WorkerViewResponseBody struct {
+	ID   *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	Pool *string `form:"pool,omitempty" json:"pool,omitempty" xml:"pool,omitempty"`
+	// Availability zone
+	Zone *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
+	Rack *string `form:"rack,omitempty" json:"rack,omitempty" xml:"rack,omitempty"`
+	// Instance that the worker lives on
+	Instance *string `form:"instance,omitempty" json:"instance,omitempty" xml:"instance,omitempty"`
+	// Whether the worker gets new work
+	Phase *string `form:"phase,omitempty" json:"phase,omitempty" xml:"phase,omitempty"`
+	// Runs that are placed there
+	Runs *int `form:"runs,omitempty" json:"runs,omitempty" xml:"runs,omitempty"`
+	// Cores that the runs take
+	UsedCores *float64 `form:"used_cores,omitempty" json:"used_cores,omitempty" xml:"used_cores,omitempty"`
+	// Cores that the worker has
+	Cores *float64 `form:"cores,omitempty" json:"cores,omitempty" xml:"cores,omitempty"`
+}
+
+// WaveViewResponseBody is used to define fields on response body types.
+type WaveViewResponseBody struct {
+	Number *int64  `form:"number,omitempty" json:"number,omitempty" xml:"number,omitempty"`
+	Status *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	// Instances that the wave asks for
+	Total *int `form:"total,omitempty" json:"total,omitempty" xml:"total,omitempty"`
+	// Instances whose upkeep has begun or is over
+	Begun *int `form:"begun,omitempty" json:"begun,omitempty" xml:"begun,omitempty"`
 }
 
-// WithdrawKeyNotFoundResponseBody is the type of the "admin" service
-// "withdraw_key" endpoint HTTP response body for the "not_found" error.
-type WithdrawKeyNotFoundResponseBody struct {
-	// Error name
+// BurnObjectiveResponseBody is used to define fields on response body types.
+type BurnObjectiveResponseBody struct {
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Queue that the objective covers, or empty
+	Queue *string `form:"queue,omitempty" json:"queue,omitempty" xml:"queue,omitempty"`
+	// Organisation that the objective covers, or empty
+	Organisation *string `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
+	// Fraction of good requests, between 0 and 1
+	Target *float64 `form:"target,omitempty" json:"target,omitempty" xml:"target,omitempty"`
+	// Time in milliseconds within which a request counts as good
+	LatencyMs *int64 `form:"latency_ms,omitempty" json:"latency_ms,omitempty" xml:"latency_ms,omitempty"`
+	// Window of the error budget in hours
+	WindowHours *int64 `form:"window_hours,omitempty" json:"window_hours,omitempty" xml:"window_hours,omitempty"`
+	// Unused fraction of the error budget; negative when it is overspent
+	BudgetLeft *float64 `form:"budget_left,omitempty" json:"budget_left,omitempty" xml:"budget_left,omitempty"`
+	// Burn per window, shortest first; the last is the objective's window
+	Windows []*BurnWindowResponseBody `form:"windows,omitempty" json:"windows,omitempty" xml:"windows,omitempty"`
+	// Parts of the last 24 hours, oldest first
+	History []*BurnPointResponseBody `form:"history,omitempty" json:"history,omitempty" xml:"history,omitempty"`
 }
 
-// WithdrawKeyRefusedResponseBody is the type of the "admin" service
-// "withdraw_key" endpoint HTTP response body for the "refused" error.
-type WithdrawKeyRefusedResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+// BurnWindowResponseBody is used to define fields on response body types.
+type BurnWindowResponseBody struct {
+	// Length of the window in seconds
+	Seconds *int64 `form:"seconds,omitempty" json:"seconds,omitempty" xml:"seconds,omitempty"`
+	// Requests that met the objective
+	Good *uint64 `form:"good,omitempty" json:"good,omitempty" xml:"good,omitempty"`
+	// Requests that missed the objective
+	Bad *uint64 `form:"bad,omitempty" json:"bad,omitempty" xml:"bad,omitempty"`
+	// Error rate as a multiple of the rate that uses up the budget exactly at the
+	// end of the window
+	BurnRate *float64 `form:"burn_rate,omitempty" json:"burn_rate,omitempty" xml:"burn_rate,omitempty"`
 }
 
-// WithdrawKeyUnauthorizedResponseBody is the type of the "admin" service
-// "withdraw_key" endpoint HTTP response body for the "unauthorized" error.
-type WithdrawKeyUnauthorizedResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+// BurnPointResponseBody is used to define fields on response body types.
+type BurnPointResponseBody struct {
+	Good *uint64 `form:"good,omitempty" json:"good,omitempty" xml:"good,omitempty"`
+	Bad  *uint64 `form:"bad,omitempty" json:"bad,omitempty" xml:"bad,omitempty"`
 }
 
-// WithdrawKeyUnavailableResponseBody is the type of the "admin" service
-// "withdraw_key" endpoint HTTP response body for the "unavailable" error.
-type WithdrawKeyUnavailableResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+// NewStartWaveRequestBody builds the HTTP request body from the payload of the
+// "start_wave" endpoint of the "admin" service.
+func NewStartWaveRequestBody(p *admin.StartWavePayload) *StartWaveRequestBody {
+	body := &StartWaveRequestBody{
+		Number:    p.Number,
+		AtOnce:    p.AtOnce,
+		DeadlineS: p.DeadlineS,
+	}
+	if p.Instances != nil {
+		body.Instances = make([]string, len(p.Instances))
+		for i, val := range p.Instances {
+			body.Instances[i] = val
+		}
+	} else {
+		body.Instances = []string{}
+	}
+	{
+		var zero int
+		if body.AtOnce == zero {
+			body.AtOnce = 1
+		}
+	}
+	{
+		var zero float64
+		if body.DeadlineS == zero {
+			body.DeadlineS = 0
+		}
+	}
+	return body
 }
 
-// WithdrawKeyUnknownResponseBody is the type of the "admin" service
-// "withdraw_key" endpoint HTTP response body for the "unknown" error.
-type WithdrawKeyUnknownResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+// NewGetConfigConfigOK builds a "admin" service "get_config" endpoint result
+// from a HTTP "OK" response.
+func NewGetConfigConfigOK(body *GetConfigResponseBody) *admin.Config {
+	v := &admin.Config{
+		Version:  *body.Version,
+		Document: body.Document,
+	}
+
+	return v
 }
 
-// ListKeysBadRequestResponseBody is the type of the "admin" service
-// "list_keys" endpoint HTTP response body for the "bad_request" error.
-type ListKeysBadRequestResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListKeysConflictResponseBody is the type of the "admin" service "list_keys"
-// endpoint HTTP response body for the "conflict" error.
-type ListKeysConflictResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListKeysNotFoundResponseBody is the type of the "admin" service "list_keys"
-// endpoint HTTP response body for the "not_found" error.
-type ListKeysNotFoundResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListKeysRefusedResponseBody is the type of the "admin" service "list_keys"
-// endpoint HTTP response body for the "refused" error.
-type ListKeysRefusedResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListKeysUnauthorizedResponseBody is the type of the "admin" service
-// "list_keys" endpoint HTTP response body for the "unauthorized" error.
-type ListKeysUnauthorizedResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListKeysUnavailableResponseBody is the type of the "admin" service
-// "list_keys" endpoint HTTP response body for the "unavailable" error.
-type ListKeysUnavailableResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListKeysUnknownResponseBody is the type of the "admin" service "list_keys"
-// endpoint HTTP response body for the "unknown" error.
-type ListKeysUnknownResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListInstancesBadRequestResponseBody is the type of the "admin" service
-// "list_instances" endpoint HTTP response body for the "bad_request" error.
-type ListInstancesBadRequestResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListInstancesConflictResponseBody is the type of the "admin" service
-// "list_instances" endpoint HTTP response body for the "conflict" error.
-type ListInstancesConflictResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListInstancesNotFoundResponseBody is the type of the "admin" service
-// "list_instances" endpoint HTTP response body for the "not_found" error.
-type ListInstancesNotFoundResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListInstancesRefusedResponseBody is the type of the "admin" service
-// "list_instances" endpoint HTTP response body for the "refused" error.
-type ListInstancesRefusedResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListInstancesUnauthorizedResponseBody is the type of the "admin" service
-// "list_instances" endpoint HTTP response body for the "unauthorized" error.
-type ListInstancesUnauthorizedResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListInstancesUnavailableResponseBody is the type of the "admin" service
-// "list_instances" endpoint HTTP response body for the "unavailable" error.
-type ListInstancesUnavailableResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListInstancesUnknownResponseBody is the type of the "admin" service
-// "list_instances" endpoint HTTP response body for the "unknown" error.
-type ListInstancesUnknownResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListMembersBadRequestResponseBody is the type of the "admin" service
-// "list_members" endpoint HTTP response body for the "bad_request" error.
-type ListMembersBadRequestResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListMembersConflictResponseBody is the type of the "admin" service
-// "list_members" endpoint HTTP response body for the "conflict" error.
-type ListMembersConflictResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListMembersNotFoundResponseBody is the type of the "admin" service
-// "list_members" endpoint HTTP response body for the "not_found" error.
-type ListMembersNotFoundResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListMembersRefusedResponseBody is the type of the "admin" service
-// "list_members" endpoint HTTP response body for the "refused" error.
-type ListMembersRefusedResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListMembersUnauthorizedResponseBody is the type of the "admin" service
-// "list_members" endpoint HTTP response body for the "unauthorized" error.
-type ListMembersUnauthorizedResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListMembersUnavailableResponseBody is the type of the "admin" service
-// "list_members" endpoint HTTP response body for the "unavailable" error.
-type ListMembersUnavailableResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListMembersUnknownResponseBody is the type of the "admin" service
-// "list_members" endpoint HTTP response body for the "unknown" error.
-type ListMembersUnknownResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// StartWaveBadRequestResponseBody is the type of the "admin" service
-// "start_wave" endpoint HTTP response body for the "bad_request" error.
-type StartWaveBadRequestResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// StartWaveConflictResponseBody is the type of the "admin" service
-// "start_wave" endpoint HTTP response body for the "conflict" error.
-type StartWaveConflictResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// StartWaveNotFoundResponseBody is the type of the "admin" service
-// "start_wave" endpoint HTTP response body for the "not_found" error.
-type StartWaveNotFoundResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// StartWaveRefusedResponseBody is the type of the "admin" service "start_wave"
-// endpoint HTTP response body for the "refused" error.
-type StartWaveRefusedResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// StartWaveUnauthorizedResponseBody is the type of the "admin" service
-// "start_wave" endpoint HTTP response body for the "unauthorized" error.
-type StartWaveUnauthorizedResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// StartWaveUnavailableResponseBody is the type of the "admin" service
-// "start_wave" endpoint HTTP response body for the "unavailable" error.
-type StartWaveUnavailableResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// StartWaveUnknownResponseBody is the type of the "admin" service "start_wave"
-// endpoint HTTP response body for the "unknown" error.
-type StartWaveUnknownResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListWavesBadRequestResponseBody is the type of the "admin" service
-// "list_waves" endpoint HTTP response body for the "bad_request" error.
-type ListWavesBadRequestResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListWavesConflictResponseBody is the type of the "admin" service
-// "list_waves" endpoint HTTP response body for the "conflict" error.
-type ListWavesConflictResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListWavesNotFoundResponseBody is the type of the "admin" service
-// "list_waves" endpoint HTTP response body for the "not_found" error.
-type ListWavesNotFoundResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListWavesRefusedResponseBody is the type of the "admin" service "list_waves"
-// endpoint HTTP response body for the "refused" error.
-type ListWavesRefusedResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListWavesUnauthorizedResponseBody is the type of the "admin" service
-// "list_waves" endpoint HTTP response body for the "unauthorized" error.
-type ListWavesUnauthorizedResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListWavesUnavailableResponseBody is the type of the "admin" service
-// "list_waves" endpoint HTTP response body for the "unavailable" error.
-type ListWavesUnavailableResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListWavesUnknownResponseBody is the type of the "admin" service "list_waves"
-// endpoint HTTP response body for the "unknown" error.
-type ListWavesUnknownResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ChangeWaveBadRequestResponseBody is the type of the "admin" service
-// "change_wave" endpoint HTTP response body for the "bad_request" error.
-type ChangeWaveBadRequestResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ChangeWaveConflictResponseBody is the type of the "admin" service
-// "change_wave" endpoint HTTP response body for the "conflict" error.
-type ChangeWaveConflictResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ChangeWaveNotFoundResponseBody is the type of the "admin" service
-// "change_wave" endpoint HTTP response body for the "not_found" error.
-type ChangeWaveNotFoundResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ChangeWaveRefusedResponseBody is the type of the "admin" service
-// "change_wave" endpoint HTTP response body for the "refused" error.
-type ChangeWaveRefusedResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ChangeWaveUnauthorizedResponseBody is the type of the "admin" service
-// "change_wave" endpoint HTTP response body for the "unauthorized" error.
-type ChangeWaveUnauthorizedResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ChangeWaveUnavailableResponseBody is the type of the "admin" service
-// "change_wave" endpoint HTTP response body for the "unavailable" error.
-type ChangeWaveUnavailableResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ChangeWaveUnknownResponseBody is the type of the "admin" service
-// "change_wave" endpoint HTTP response body for the "unknown" error.
-type ChangeWaveUnknownResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ReportBurnBadRequestResponseBody is the type of the "admin" service
-// "report_burn" endpoint HTTP response body for the "bad_request" error.
-type ReportBurnBadRequestResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ReportBurnConflictResponseBody is the type of the "admin" service
-// "report_burn" endpoint HTTP response body for the "conflict" error.
-type ReportBurnConflictResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ReportBurnNotFoundResponseBody is the type of the "admin" service
-// "report_burn" endpoint HTTP response body for the "not_found" error.
-type ReportBurnNotFoundResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ReportBurnRefusedResponseBody is the type of the "admin" service
-// "report_burn" endpoint HTTP response body for the "refused" error.
-type ReportBurnRefusedResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ReportBurnUnauthorizedResponseBody is the type of the "admin" service
-// "report_burn" endpoint HTTP response body for the "unauthorized" error.
-type ReportBurnUnauthorizedResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ReportBurnUnavailableResponseBody is the type of the "admin" service
-// "report_burn" endpoint HTTP response body for the "unavailable" error.
-type ReportBurnUnavailableResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ReportBurnUnknownResponseBody is the type of the "admin" service
-// "report_burn" endpoint HTTP response body for the "unknown" error.
-type ReportBurnUnknownResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// FindingResponseBody is used to define fields on response body types.
-type FindingResponseBody struct {
-	// JSON pointer
-	Place *string `form:"place,omitempty" json:"place,omitempty" xml:"place,omitempty"`
-	// What is wrong
-	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
-}
-
-// MemberProgressResponseBody is used to define fields on response body types.
-type MemberProgressResponseBody struct {
-	// Entry instance
-	Member *string `form:"member,omitempty" json:"member,omitempty" xml:"member,omitempty"`
-	// Whether the entry instance has applied the record
-	InForce *bool `form:"in_force,omitempty" json:"in_force,omitempty" xml:"in_force,omitempty"`
-	// Time in milliseconds from the request until the entry instance had applied
-	// the record
-	AfterMs *int64 `form:"after_ms,omitempty" json:"after_ms,omitempty" xml:"after_ms,omitempty"`
-}
-
-// ChangeResponse is used to define fields on response body types.
-type ChangeResponse struct {
-	Version *uint64 `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
-	Offset  *uint64 `form:"offset,omitempty" json:"offset,omitempty" xml:"offset,omitempty"`
-	Record  *string `form:"record,omitempty" json:"record,omitempty" xml:"record,omitempty"`
-	Author  *string `form:"author,omitempty" json:"author,omitempty" xml:"author,omitempty"`
-}
-
-// KeyViewResponse is used to define fields on response body types.
-type KeyViewResponse struct {
-	KeyID *string `form:"key_id,omitempty" json:"key_id,omitempty" xml:"key_id,omitempty"`
-	Team  *string `form:"team,omitempty" json:"team,omitempty" xml:"team,omitempty"`
-	// Log offset of the record that issued the key
-	Issued *uint64 `form:"issued,omitempty" json:"issued,omitempty" xml:"issued,omitempty"`
-}
-
-// InstanceViewResponse is used to define fields on response body types.
-type InstanceViewResponse struct {
-	ID   *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
-	Pool *string `form:"pool,omitempty" json:"pool,omitempty" xml:"pool,omitempty"`
-	// Availability zone
-	Zone         *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
-	Rack         *string `form:"rack,omitempty" json:"rack,omitempty" xml:"rack,omitempty"`
-	Phase        *string `form:"phase,omitempty" json:"phase,omitempty" xml:"phase,omitempty"`
-	Healthy      *bool   `form:"healthy,omitempty" json:"healthy,omitempty" xml:"healthy,omitempty"`
-	Wave         *string `form:"wave,omitempty" json:"wave,omitempty" xml:"wave,omitempty"`
-	MaintainedIn *string `form:"maintained_in,omitempty" json:"maintained_in,omitempty" xml:"maintained_in,omitempty"`
-}
-
-// MemberViewResponse is used to define fields on response body types.
-type MemberViewResponse struct {
-	Name        *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	Incarnation *uint64 `form:"incarnation,omitempty" json:"incarnation,omitempty" xml:"incarnation,omitempty"`
-	Address     *string `form:"address,omitempty" json:"address,omitempty" xml:"address,omitempty"`
-	// Availability zone
-	Zone *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
-}
-
-// WaveViewResponse is used to define fields on response body types.
-type WaveViewResponse struct {
-	Wave   *string  `form:"wave,omitempty" json:"wave,omitempty" xml:"wave,omitempty"`
-	Action *string  `form:"action,omitempty" json:"action,omitempty" xml:"action,omitempty"`
-	Pools  []string `form:"pools,omitempty" json:"pools,omitempty" xml:"pools,omitempty"`
-	To     *string  `form:"to,omitempty" json:"to,omitempty" xml:"to,omitempty"`
-	Status *string  `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	Reason *string  `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Instances of the wave
-	Total *int `form:"total,omitempty" json:"total,omitempty" xml:"total,omitempty"`
-	// Instances that are back in service
-	Done *int `form:"done,omitempty" json:"done,omitempty" xml:"done,omitempty"`
-	// Instances that are out of service for the wave
-	Out *int `form:"out,omitempty" json:"out,omitempty" xml:"out,omitempty"`
-	// Instances that are still to be taken out, in planned order, for a dry run
-	Order []string `form:"order,omitempty" json:"order,omitempty" xml:"order,omitempty"`
-	// Expected end (RFC 3339) from the pace so far, once an instance has returned
-	ExpectedEnd *string `form:"expected_end,omitempty" json:"expected_end,omitempty" xml:"expected_end,omitempty"`
-}
-
-// BurnObjectiveResponseBody is used to define fields on response body types.
-type BurnObjectiveResponseBody struct {
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// Pool that the objective covers, or empty
-	Pool *string `form:"pool,omitempty" json:"pool,omitempty" xml:"pool,omitempty"`
-	// Team that the objective covers, or empty
-	Team *string `form:"team,omitempty" json:"team,omitempty" xml:"team,omitempty"`
-	// Fraction of good requests, between 0 and 1
-	Target *float64 `form:"target,omitempty" json:"target,omitempty" xml:"target,omitempty"`
-	// Time in milliseconds within which a request counts as good
-	LatencyMs *int64 `form:"latency_ms,omitempty" json:"latency_ms,omitempty" xml:"latency_ms,omitempty"`
-	// Window of the error budget in hours
-	WindowHours *int `form:"window_hours,omitempty" json:"window_hours,omitempty" xml:"window_hours,omitempty"`
-	// Unused fraction of the error budget; negative when it is overspent
-	BudgetLeft *float64 `form:"budget_left,omitempty" json:"budget_left,omitempty" xml:"budget_left,omitempty"`
-	// Burn per window, shortest first; the last is the objective's window
-	Windows []*BurnWindowResponseBody `form:"windows,omitempty" json:"windows,omitempty" xml:"windows,omitempty"`
-	// Parts of the last 24 hours, oldest first
-	History []*BurnPointResponseBody `form:"history,omitempty" json:"history,omitempty" xml:"history,omitempty"`
-}
-
-// BurnWindowResponseBody is used to define fields on response body types.
-type BurnWindowResponseBody struct {
-	// Length of the window in seconds
-	Seconds *int64 `form:"seconds,omitempty" json:"seconds,omitempty" xml:"seconds,omitempty"`
-	// Requests that met the objective
-	Good *uint64 `form:"good,omitempty" json:"good,omitempty" xml:"good,omitempty"`
-	// Requests that missed the objective
-	Bad *uint64 `form:"bad,omitempty" json:"bad,omitempty" xml:"bad,omitempty"`
-	// Error rate as a multiple of the rate that uses up the budget exactly at the
-	// end of the window
-	BurnRate *float64 `form:"burn_rate,omitempty" json:"burn_rate,omitempty" xml:"burn_rate,omitempty"`
-}
-
-// BurnPointResponseBody is used to define fields on response body types.
-type BurnPointResponseBody struct {
-	Good *uint64 `form:"good,omitempty" json:"good,omitempty" xml:"good,omitempty"`
-	Bad  *uint64 `form:"bad,omitempty" json:"bad,omitempty" xml:"bad,omitempty"`
-}
-
-// NewIssueKeyRequestBody builds the HTTP request body from the payload of the
-// "issue_key" endpoint of the "admin" service.
-func NewIssueKeyRequestBody(p *admin.IssueKeyPayload) *IssueKeyRequestBody {
-	body := &IssueKeyRequestBody{
-		Team: p.Team,
-	}
-	return body
-}
-
-// NewStartWaveRequestBody builds the HTTP request body from the payload of the
-// "start_wave" endpoint of the "admin" service.
-func NewStartWaveRequestBody(p *admin.StartWavePayload) *StartWaveRequestBody {
-	body := &StartWaveRequestBody{
-		Wave:        p.Wave,
-		Action:      p.Action,
-		To:          p.To,
-		MaxParallel: p.MaxParallel,
-		DryRun:      p.DryRun,
-	}
-	if p.Pools != nil {
-		body.Pools = make([]string, len(p.Pools))
-		for i, val := range p.Pools {
-			body.Pools[i] = val
-		}
-	} else {
-		body.Pools = []string{}
-	}
-	if p.Instances != nil {
-		body.Instances = make([]string, len(p.Instances))
-		for i, val := range p.Instances {
-			body.Instances[i] = val
-		}
-	}
-	{
-		var zero int
-		if body.MaxParallel == zero {
-			body.MaxParallel = 0
-		}
-	}
-	{
-		var zero bool
-		if body.DryRun == zero {
-			body.DryRun = false
-		}
-	}
-	return body
-}
-
-// NewGetConfigResultOK builds a "admin" service "get_config" endpoint result
-// from a HTTP "OK" response.
-func NewGetConfigResultOK(body *GetConfigResponseBody) *admin.GetConfigResult {
-	v := &admin.GetConfigResult{
-		Version:  *body.Version,
-		Document: body.Document,
-	}
-
-	return v
-}
-
-// NewGetConfigBadRequest builds a admin service get_config endpoint
-// bad_request error.
-func NewGetConfigBadRequest(body *GetConfigBadRequestResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewGetConfigConflict builds a admin service get_config endpoint conflict
-// error.
-func NewGetConfigConflict(body *GetConfigConflictResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewGetConfigNotFound builds a admin service get_config endpoint not_found
-// error.
-func NewGetConfigNotFound(body *GetConfigNotFoundResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewGetConfigRefused builds a admin service get_config endpoint refused error.
-func NewGetConfigRefused(body *GetConfigRefusedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewGetConfigUnauthorized builds a admin service get_config endpoint
-// unauthorized error.
-func NewGetConfigUnauthorized(body *GetConfigUnauthorizedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewGetConfigUnavailable builds a admin service get_config endpoint
-// unavailable error.
-func NewGetConfigUnavailable(body *GetConfigUnavailableResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewGetConfigUnknown builds a admin service get_config endpoint unknown error.
-func NewGetConfigUnknown(body *GetConfigUnknownResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewPatchConfigVerdictOK builds a "admin" service "patch_config" endpoint
-// result from a HTTP "OK" response.
-func NewPatchConfigVerdictOK(body *PatchConfigResponseBody) *admin.Verdict {
-	v := &admin.Verdict{
-		ID:      *body.ID,
-		Outcome: *body.Outcome,
-		Version: *body.Version,
-		Offset:  *body.Offset,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-	if body.Members != nil {
-		v.Members = make([]*admin.MemberProgress, len(body.Members))
-		for i, val := range body.Members {
-			if val == nil {
-				v.Members[i] = nil
-				continue
-			}
-			v.Members[i] = unmarshalMemberProgressResponseBodyToAdminMemberProgress(val)
-		}
-	}
-
-	return v
-}
-
-// NewPatchConfigBadRequest builds a admin service patch_config endpoint
-// bad_request error.
-func NewPatchConfigBadRequest(body *PatchConfigBadRequestResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewPatchConfigConflict builds a admin service patch_config endpoint conflict
-// error.
-func NewPatchConfigConflict(body *PatchConfigConflictResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewPatchConfigNotFound builds a admin service patch_config endpoint
-// not_found error.
-func NewPatchConfigNotFound(body *PatchConfigNotFoundResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewPatchConfigRefused builds a admin service patch_config endpoint refused
-// error.
-func NewPatchConfigRefused(body *PatchConfigRefusedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewPatchConfigUnauthorized builds a admin service patch_config endpoint
-// unauthorized error.
-func NewPatchConfigUnauthorized(body *PatchConfigUnauthorizedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewPatchConfigUnavailable builds a admin service patch_config endpoint
-// unavailable error.
-func NewPatchConfigUnavailable(body *PatchConfigUnavailableResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewPatchConfigUnknown builds a admin service patch_config endpoint unknown
-// error.
-func NewPatchConfigUnknown(body *PatchConfigUnknownResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewConfigHistoryChangeOK builds a "admin" service "config_history" endpoint
-// result from a HTTP "OK" response.
-func NewConfigHistoryChangeOK(body []*ChangeResponse) []*admin.Change {
-	v := make([]*admin.Change, len(body))
-	for i, val := range body {
-		if val == nil {
-			v[i] = nil
-			continue
-		}
-		v[i] = unmarshalChangeResponseToAdminChange(val)
-	}
-
-	return v
-}
-
-// NewConfigHistoryBadRequest builds a admin service config_history endpoint
-// bad_request error.
-func NewConfigHistoryBadRequest(body *ConfigHistoryBadRequestResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewConfigHistoryConflict builds a admin service config_history endpoint
-// conflict error.
-func NewConfigHistoryConflict(body *ConfigHistoryConflictResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewConfigHistoryNotFound builds a admin service config_history endpoint
-// not_found error.
-func NewConfigHistoryNotFound(body *ConfigHistoryNotFoundResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewConfigHistoryRefused builds a admin service config_history endpoint
-// refused error.
-func NewConfigHistoryRefused(body *ConfigHistoryRefusedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewConfigHistoryUnauthorized builds a admin service config_history endpoint
-// unauthorized error.
-func NewConfigHistoryUnauthorized(body *ConfigHistoryUnauthorizedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewConfigHistoryUnavailable builds a admin service config_history endpoint
-// unavailable error.
-func NewConfigHistoryUnavailable(body *ConfigHistoryUnavailableResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewConfigHistoryUnknown builds a admin service config_history endpoint
-// unknown error.
-func NewConfigHistoryUnknown(body *ConfigHistoryUnknownResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewVerdictOK builds a "admin" service "verdict" endpoint result from a HTTP
-// "OK" response.
-func NewVerdictOK(body *VerdictResponseBody) *admin.Verdict {
-	v := &admin.Verdict{
-		ID:      *body.ID,
-		Outcome: *body.Outcome,
-		Version: *body.Version,
-		Offset:  *body.Offset,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-	if body.Members != nil {
-		v.Members = make([]*admin.MemberProgress, len(body.Members))
-		for i, val := range body.Members {
-			if val == nil {
-				v.Members[i] = nil
-				continue
-			}
-			v.Members[i] = unmarshalMemberProgressResponseBodyToAdminMemberProgress(val)
-		}
-	}
-
-	return v
-}
-
-// NewVerdictBadRequest builds a admin service verdict endpoint bad_request
-// error.
-func NewVerdictBadRequest(body *VerdictBadRequestResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewVerdictConflict builds a admin service verdict endpoint conflict error.
-func NewVerdictConflict(body *VerdictConflictResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewVerdictNotFound builds a admin service verdict endpoint not_found error.
-func NewVerdictNotFound(body *VerdictNotFoundResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewVerdictRefused builds a admin service verdict endpoint refused error.
-func NewVerdictRefused(body *VerdictRefusedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewVerdictUnauthorized builds a admin service verdict endpoint unauthorized
-// error.
-func NewVerdictUnauthorized(body *VerdictUnauthorizedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewVerdictUnavailable builds a admin service verdict endpoint unavailable
-// error.
-func NewVerdictUnavailable(body *VerdictUnavailableResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewVerdictUnknown builds a admin service verdict endpoint unknown error.
-func NewVerdictUnknown(body *VerdictUnknownResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewIssueKeyResultCreated builds a "admin" service "issue_key" endpoint
-// result from a HTTP "Created" response.
-func NewIssueKeyResultCreated(body *IssueKeyResponseBody) *admin.IssueKeyResult {
-	v := &admin.IssueKeyResult{
-		KeyID: *body.KeyID,
-		Key:   *body.Key,
-	}
-	v.Verdict = unmarshalVerdictResponseBodyToAdminVerdict(body.Verdict)
-
-	return v
-}
-
-// NewIssueKeyBadRequest builds a admin service issue_key endpoint bad_request
-// error.
-func NewIssueKeyBadRequest(body *IssueKeyBadRequestResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewIssueKeyConflict builds a admin service issue_key endpoint conflict error.
-func NewIssueKeyConflict(body *IssueKeyConflictResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewIssueKeyNotFound builds a admin service issue_key endpoint not_found
-// error.
-func NewIssueKeyNotFound(body *IssueKeyNotFoundResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewIssueKeyRefused builds a admin service issue_key endpoint refused error.
-func NewIssueKeyRefused(body *IssueKeyRefusedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewIssueKeyUnauthorized builds a admin service issue_key endpoint
-// unauthorized error.
-func NewIssueKeyUnauthorized(body *IssueKeyUnauthorizedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewIssueKeyUnavailable builds a admin service issue_key endpoint unavailable
-// error.
-func NewIssueKeyUnavailable(body *IssueKeyUnavailableResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewIssueKeyUnknown builds a admin service issue_key endpoint unknown error.
-func NewIssueKeyUnknown(body *IssueKeyUnknownResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewWithdrawKeyVerdictOK builds a "admin" service "withdraw_key" endpoint
-// result from a HTTP "OK" response.
-func NewWithdrawKeyVerdictOK(body *WithdrawKeyResponseBody) *admin.Verdict {
-	v := &admin.Verdict{
-		ID:      *body.ID,
-		Outcome: *body.Outcome,
-		Version: *body.Version,
-		Offset:  *body.Offset,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-	if body.Members != nil {
-		v.Members = make([]*admin.MemberProgress, len(body.Members))
-		for i, val := range body.Members {
-			if val == nil {
-				v.Members[i] = nil
-				continue
-			}
-			v.Members[i] = unmarshalMemberProgressResponseBodyToAdminMemberProgress(val)
-		}
-	}
-
-	return v
-}
-
-// NewWithdrawKeyBadRequest builds a admin service withdraw_key endpoint
-// bad_request error.
-func NewWithdrawKeyBadRequest(body *WithdrawKeyBadRequestResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewWithdrawKeyConflict builds a admin service withdraw_key endpoint conflict
-// error.
-func NewWithdrawKeyConflict(body *WithdrawKeyConflictResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewWithdrawKeyNotFound builds a admin service withdraw_key endpoint
-// not_found error.
-func NewWithdrawKeyNotFound(body *WithdrawKeyNotFoundResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewWithdrawKeyRefused builds a admin service withdraw_key endpoint refused
-// error.
-func NewWithdrawKeyRefused(body *WithdrawKeyRefusedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewWithdrawKeyUnauthorized builds a admin service withdraw_key endpoint
-// unauthorized error.
-func NewWithdrawKeyUnauthorized(body *WithdrawKeyUnauthorizedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewWithdrawKeyUnavailable builds a admin service withdraw_key endpoint
-// unavailable error.
-func NewWithdrawKeyUnavailable(body *WithdrawKeyUnavailableResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewWithdrawKeyUnknown builds a admin service withdraw_key endpoint unknown
-// error.
-func NewWithdrawKeyUnknown(body *WithdrawKeyUnknownResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListKeysKeyViewOK builds a "admin" service "list_keys" endpoint result
-// from a HTTP "OK" response.
-func NewListKeysKeyViewOK(body []*KeyViewResponse) []*admin.KeyView {
-	v := make([]*admin.KeyView, len(body))
-	for i, val := range body {
-		if val == nil {
-			v[i] = nil
-			continue
-		}
-		v[i] = unmarshalKeyViewResponseToAdminKeyView(val)
-	}
-
-	return v
-}
-
-// NewListKeysBadRequest builds a admin service list_keys endpoint bad_request
-// error.
-func NewListKeysBadRequest(body *ListKeysBadRequestResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListKeysConflict builds a admin service list_keys endpoint conflict error.
-func NewListKeysConflict(body *ListKeysConflictResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListKeysNotFound builds a admin service list_keys endpoint not_found
-// error.
-func NewListKeysNotFound(body *ListKeysNotFoundResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListKeysRefused builds a admin service list_keys endpoint refused error.
-func NewListKeysRefused(body *ListKeysRefusedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListKeysUnauthorized builds a admin service list_keys endpoint
-// unauthorized error.
-func NewListKeysUnauthorized(body *ListKeysUnauthorizedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListKeysUnavailable builds a admin service list_keys endpoint unavailable
-// error.
-func NewListKeysUnavailable(body *ListKeysUnavailableResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListKeysUnknown builds a admin service list_keys endpoint unknown error.
-func NewListKeysUnknown(body *ListKeysUnknownResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListInstancesInstanceViewOK builds a "admin" service "list_instances"
-// endpoint result from a HTTP "OK" response.
-func NewListInstancesInstanceViewOK(body []*InstanceViewResponse) []*admin.InstanceView {
-	v := make([]*admin.InstanceView, len(body))
-	for i, val := range body {
-		if val == nil {
-			v[i] = nil
-			continue
-		}
-		v[i] = unmarshalInstanceViewResponseToAdminInstanceView(val)
-	}
-
-	return v
-}
-
-// NewListInstancesBadRequest builds a admin service list_instances endpoint
-// bad_request error.
-func NewListInstancesBadRequest(body *ListInstancesBadRequestResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListInstancesConflict builds a admin service list_instances endpoint
-// conflict error.
-func NewListInstancesConflict(body *ListInstancesConflictResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListInstancesNotFound builds a admin service list_instances endpoint
-// not_found error.
-func NewListInstancesNotFound(body *ListInstancesNotFoundResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListInstancesRefused builds a admin service list_instances endpoint
-// refused error.
-func NewListInstancesRefused(body *ListInstancesRefusedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListInstancesUnauthorized builds a admin service list_instances endpoint
-// unauthorized error.
-func NewListInstancesUnauthorized(body *ListInstancesUnauthorizedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListInstancesUnavailable builds a admin service list_instances endpoint
-// unavailable error.
-func NewListInstancesUnavailable(body *ListInstancesUnavailableResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListInstancesUnknown builds a admin service list_instances endpoint
-// unknown error.
-func NewListInstancesUnknown(body *ListInstancesUnknownResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListMembersMemberViewOK builds a "admin" service "list_members" endpoint
-// result from a HTTP "OK" response.
-func NewListMembersMemberViewOK(body []*MemberViewResponse) []*admin.MemberView {
-	v := make([]*admin.MemberView, len(body))
-	for i, val := range body {
-		if val == nil {
-			v[i] = nil
-			continue
-		}
-		v[i] = unmarshalMemberViewResponseToAdminMemberView(val)
-	}
-
-	return v
-}
-
-// NewListMembersBadRequest builds a admin service list_members endpoint
-// bad_request error.
-func NewListMembersBadRequest(body *ListMembersBadRequestResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListMembersConflict builds a admin service list_members endpoint conflict
-// error.
-func NewListMembersConflict(body *ListMembersConflictResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
