-// NewListMembersNotFound builds a admin service list_members endpoint
-// not_found error.
-func NewListMembersNotFound(body *ListMembersNotFoundResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListMembersRefused builds a admin service list_members endpoint refused
-// error.
-func NewListMembersRefused(body *ListMembersRefusedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListMembersUnauthorized builds a admin service list_members endpoint
-// unauthorized error.
-func NewListMembersUnauthorized(body *ListMembersUnauthorizedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListMembersUnavailable builds a admin service list_members endpoint
-// unavailable error.
-func NewListMembersUnavailable(body *ListMembersUnavailableResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListMembersUnknown builds a admin service list_members endpoint unknown
-// error.
-func NewListMembersUnknown(body *ListMembersUnknownResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewStartWaveWaveViewCreated builds a "admin" service "start_wave" endpoint
-// result from a HTTP "Created" response.
-func NewStartWaveWaveViewCreated(body *StartWaveResponseBody) *admin.WaveView {
-	v := &admin.WaveView{
-		Wave:        *body.Wave,
-		Action:      *body.Action,
-		To:          body.To,
-		Status:      *body.Status,
-		Reason:      body.Reason,
-		Total:       *body.Total,
-		Done:        *body.Done,
-		Out:         *body.Out,
-		ExpectedEnd: body.ExpectedEnd,
-	}
-	v.Pools = make([]string, len(body.Pools))
-	for i, val := range body.Pools {
-		v.Pools[i] = val
-	}
-	if body.Order != nil {
-		v.Order = make([]string, len(body.Order))
-		for i, val := range body.Order {
-			v.Order[i] = val
-		}
-	}
-
-	return v
-}
-
-// NewStartWaveBadRequest builds a admin service start_wave endpoint
-// bad_request error.
-func NewStartWaveBadRequest(body *StartWaveBadRequestResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewStartWaveConflict builds a admin service start_wave endpoint conflict
-// error.
-func NewStartWaveConflict(body *StartWaveConflictResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewStartWaveNotFound builds a admin service start_wave endpoint not_found
-// error.
-func NewStartWaveNotFound(body *StartWaveNotFoundResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewStartWaveRefused builds a admin service start_wave endpoint refused error.
-func NewStartWaveRefused(body *StartWaveRefusedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewStartWaveUnauthorized builds a admin service start_wave endpoint
-// unauthorized error.
-func NewStartWaveUnauthorized(body *StartWaveUnauthorizedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewStartWaveUnavailable builds a admin service start_wave endpoint
-// unavailable error.
-func NewStartWaveUnavailable(body *StartWaveUnavailableResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewStartWaveUnknown builds a admin service start_wave endpoint unknown error.
-func NewStartWaveUnknown(body *StartWaveUnknownResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListWavesWaveViewOK builds a "admin" service "list_waves" endpoint result
-// from a HTTP "OK" response.
-func NewListWavesWaveViewOK(body []*WaveViewResponse) []*admin.WaveView {
-	v := make([]*admin.WaveView, len(body))
-	for i, val := range body {
-		if val == nil {
-			v[i] = nil
-			continue
-		}
-		v[i] = unmarshalWaveViewResponseToAdminWaveView(val)
-	}
-
-	return v
-}
-
-// NewListWavesBadRequest builds a admin service list_waves endpoint
-// bad_request error.
-func NewListWavesBadRequest(body *ListWavesBadRequestResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListWavesConflict builds a admin service list_waves endpoint conflict
-// error.
-func NewListWavesConflict(body *ListWavesConflictResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListWavesNotFound builds a admin service list_waves endpoint not_found
-// error.
-func NewListWavesNotFound(body *ListWavesNotFoundResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListWavesRefused builds a admin service list_waves endpoint refused error.
-func NewListWavesRefused(body *ListWavesRefusedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListWavesUnauthorized builds a admin service list_waves endpoint
-// unauthorized error.
-func NewListWavesUnauthorized(body *ListWavesUnauthorizedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListWavesUnavailable builds a admin service list_waves endpoint
-// unavailable error.
-func NewListWavesUnavailable(body *ListWavesUnavailableResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewListWavesUnknown builds a admin service list_waves endpoint unknown error.
-func NewListWavesUnknown(body *ListWavesUnknownResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewChangeWaveWaveViewOK builds a "admin" service "change_wave" endpoint
-// result from a HTTP "OK" response.
-func NewChangeWaveWaveViewOK(body *ChangeWaveResponseBody) *admin.WaveView {
-	v := &admin.WaveView{
-		Wave:        *body.Wave,
-		Action:      *body.Action,
-		To:          body.To,
-		Status:      *body.Status,
-		Reason:      body.Reason,
-		Total:       *body.Total,
-		Done:        *body.Done,
-		Out:         *body.Out,
-		ExpectedEnd: body.ExpectedEnd,
-	}
-	v.Pools = make([]string, len(body.Pools))
-	for i, val := range body.Pools {
-		v.Pools[i] = val
-	}
-	if body.Order != nil {
-		v.Order = make([]string, len(body.Order))
-		for i, val := range body.Order {
-			v.Order[i] = val
-		}
-	}
-
-	return v
-}
-
-// NewChangeWaveBadRequest builds a admin service change_wave endpoint
-// bad_request error.
-func NewChangeWaveBadRequest(body *ChangeWaveBadRequestResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewChangeWaveConflict builds a admin service change_wave endpoint conflict
-// error.
-func NewChangeWaveConflict(body *ChangeWaveConflictResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewChangeWaveNotFound builds a admin service change_wave endpoint not_found
-// error.
-func NewChangeWaveNotFound(body *ChangeWaveNotFoundResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewChangeWaveRefused builds a admin service change_wave endpoint refused
-// error.
-func NewChangeWaveRefused(body *ChangeWaveRefusedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewChangeWaveUnauthorized builds a admin service change_wave endpoint
-// unauthorized error.
-func NewChangeWaveUnauthorized(body *ChangeWaveUnauthorizedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewChangeWaveUnavailable builds a admin service change_wave endpoint
-// unavailable error.
-func NewChangeWaveUnavailable(body *ChangeWaveUnavailableResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewChangeWaveUnknown builds a admin service change_wave endpoint unknown
-// error.
-func NewChangeWaveUnknown(body *ChangeWaveUnknownResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewReportBurnBurnReportOK builds a "admin" service "report_burn" endpoint
-// result from a HTTP "OK" response.
-func NewReportBurnBurnReportOK(body *ReportBurnResponseBody) *admin.BurnReport {
-	v := &admin.BurnReport{
-		At: *body.At,
-	}
-	v.Members = make([]string, len(body.Members))
-	for i, val := range body.Members {
-		v.Members[i] = val
-	}
-	v.Missing = make([]string, len(body.Missing))
-	for i, val := range body.Missing {
-		v.Missing[i] = val
-	}
-	v.Objectives = make([]*admin.BurnObjective, len(body.Objectives))
-	for i, val := range body.Objectives {
-		if val == nil {
-			v.Objectives[i] = nil
-			continue
-		}
-		v.Objectives[i] = unmarshalBurnObjectiveResponseBodyToAdminBurnObjective(val)
-	}
-
-	return v
-}
-
-// NewReportBurnBadRequest builds a admin service report_burn endpoint
-// bad_request error.
-func NewReportBurnBadRequest(body *ReportBurnBadRequestResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewReportBurnConflict builds a admin service report_burn endpoint conflict
-// error.
-func NewReportBurnConflict(body *ReportBurnConflictResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewReportBurnNotFound builds a admin service report_burn endpoint not_found
-// error.
-func NewReportBurnNotFound(body *ReportBurnNotFoundResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewReportBurnRefused builds a admin service report_burn endpoint refused
-// error.
-func NewReportBurnRefused(body *ReportBurnRefusedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewReportBurnUnauthorized builds a admin service report_burn endpoint
-// unauthorized error.
-func NewReportBurnUnauthorized(body *ReportBurnUnauthorizedResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewReportBurnUnavailable builds a admin service report_burn endpoint
-// unavailable error.
-func NewReportBurnUnavailable(body *ReportBurnUnavailableResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewReportBurnUnknown builds a admin service report_burn endpoint unknown
-// error.
-func NewReportBurnUnknown(body *ReportBurnUnknownResponseBody) *admin.Problem {
-	v := &admin.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*admin.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
-		}
-	}
-
-	return v
-}
-
-// ValidateGetConfigResponseBody runs the validations defined on
-// get_config_response_body
-func ValidateGetConfigResponseBody(body *GetConfigResponseBody) (err error) {
-	if body.Version == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("version", "body"))
-	}
-	if body.Document == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("document", "body"))
-	}
-	return
-}
-
-// ValidatePatchConfigResponseBody runs the validations defined on
-// patch_config_response_body
-func ValidatePatchConfigResponseBody(body *PatchConfigResponseBody) (err error) {
-	if body.ID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
-	}
-	if body.Outcome == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
-	}
-	if body.Version == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("version", "body"))
-	}
-	if body.Offset == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("offset", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "accepted" || *body.Outcome == "refused" || *body.Outcome == "conflict") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"accepted", "refused", "conflict"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	for _, e := range body.Members {
-		if e != nil {
-			if err2 := ValidateMemberProgressResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidateVerdictResponseBody runs the validations defined on
-// VerdictResponseBody
-func ValidateVerdictResponseBody(body *VerdictResponseBody) (err error) {
-	if body.ID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
-	}
-	if body.Outcome == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
-	}
-	if body.Version == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("version", "body"))
-	}
-	if body.Offset == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("offset", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "accepted" || *body.Outcome == "refused" || *body.Outcome == "conflict") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"accepted", "refused", "conflict"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	for _, e := range body.Members {
-		if e != nil {
-			if err2 := ValidateMemberProgressResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidateIssueKeyResponseBody runs the validations defined on
-// issue_key_response_body
-func ValidateIssueKeyResponseBody(body *IssueKeyResponseBody) (err error) {
-	if body.KeyID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("key_id", "body"))
-	}
-	if body.Key == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("key", "body"))
-	}
-	if body.Verdict == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "body"))
-	}
-	if body.Verdict != nil {
-		if err2 := ValidateVerdictResponseBody(body.Verdict); err2 != nil {
-			err = goa.MergeErrors(err, err2)
-		}
-	}
-	return
-}
-
-// ValidateWithdrawKeyResponseBody runs the validations defined on
-// withdraw_key_response_body
-func ValidateWithdrawKeyResponseBody(body *WithdrawKeyResponseBody) (err error) {
-	if body.ID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
-	}
-	if body.Outcome == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
-	}
-	if body.Version == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("version", "body"))
-	}
-	if body.Offset == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("offset", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "accepted" || *body.Outcome == "refused" || *body.Outcome == "conflict") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"accepted", "refused", "conflict"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	for _, e := range body.Members {
-		if e != nil {
-			if err2 := ValidateMemberProgressResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidateStartWaveResponseBody runs the validations defined on
-// start_wave_response_body
-func ValidateStartWaveResponseBody(body *StartWaveResponseBody) (err error) {
-	if body.Wave == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("wave", "body"))
-	}
-	if body.Action == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("action", "body"))
-	}
-	if body.Pools == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("pools", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Total == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("total", "body"))
-	}
-	if body.Done == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("done", "body"))
-	}
-	if body.Out == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("out", "body"))
-	}
-	if body.ExpectedEnd != nil {
-		err = goa.MergeErrors(err, goa.ValidateFormat("body.expected_end", *body.ExpectedEnd, goa.FormatDateTime))
-	}
-	return
-}
-
-// ValidateChangeWaveResponseBody runs the validations defined on
-// change_wave_response_body
-func ValidateChangeWaveResponseBody(body *ChangeWaveResponseBody) (err error) {
-	if body.Wave == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("wave", "body"))
-	}
-	if body.Action == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("action", "body"))
-	}
-	if body.Pools == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("pools", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Total == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("total", "body"))
-	}
-	if body.Done == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("done", "body"))
-	}
-	if body.Out == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("out", "body"))
-	}
-	if body.ExpectedEnd != nil {
-		err = goa.MergeErrors(err, goa.ValidateFormat("body.expected_end", *body.ExpectedEnd, goa.FormatDateTime))
-	}
-	return
-}
-
-// ValidateReportBurnResponseBody runs the validations defined on
-// report_burn_response_body
-func ValidateReportBurnResponseBody(body *ReportBurnResponseBody) (err error) {
-	if body.At == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("at", "body"))
-	}
-	if body.Members == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("members", "body"))
-	}
-	if body.Missing == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("missing", "body"))
-	}
-	if body.Objectives == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("objectives", "body"))
-	}
-	if body.At != nil {
-		err = goa.MergeErrors(err, goa.ValidateFormat("body.at", *body.At, goa.FormatDateTime))
-	}
-	for _, e := range body.Objectives {
-		if e != nil {
-			if err2 := ValidateBurnObjectiveResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidateGetConfigBadRequestResponseBody runs the validations defined on
-// get_config_bad_request_response_body
-func ValidateGetConfigBadRequestResponseBody(body *GetConfigBadRequestResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidateGetConfigConflictResponseBody runs the validations defined on
-// get_config_conflict_response_body
-func ValidateGetConfigConflictResponseBody(body *GetConfigConflictResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidateGetConfigNotFoundResponseBody runs the validations defined on
-// get_config_not_found_response_body
-func ValidateGetConfigNotFoundResponseBody(body *GetConfigNotFoundResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidateGetConfigRefusedResponseBody runs the validations defined on
-// get_config_refused_response_body
-func ValidateGetConfigRefusedResponseBody(body *GetConfigRefusedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidateGetConfigUnauthorizedResponseBody runs the validations defined on
-// get_config_unauthorized_response_body
-func ValidateGetConfigUnauthorizedResponseBody(body *GetConfigUnauthorizedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidateGetConfigUnavailableResponseBody runs the validations defined on
-// get_config_unavailable_response_body
-func ValidateGetConfigUnavailableResponseBody(body *GetConfigUnavailableResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidateGetConfigUnknownResponseBody runs the validations defined on
-// get_config_unknown_response_body
-func ValidateGetConfigUnknownResponseBody(body *GetConfigUnknownResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidatePatchConfigBadRequestResponseBody runs the validations defined on
-// patch_config_bad_request_response_body
-func ValidatePatchConfigBadRequestResponseBody(body *PatchConfigBadRequestResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidatePatchConfigConflictResponseBody runs the validations defined on
-// patch_config_conflict_response_body
-func ValidatePatchConfigConflictResponseBody(body *PatchConfigConflictResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidatePatchConfigNotFoundResponseBody runs the validations defined on
-// patch_config_not_found_response_body
-func ValidatePatchConfigNotFoundResponseBody(body *PatchConfigNotFoundResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidatePatchConfigRefusedResponseBody runs the validations defined on
-// patch_config_refused_response_body
-func ValidatePatchConfigRefusedResponseBody(body *PatchConfigRefusedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidatePatchConfigUnauthorizedResponseBody runs the validations defined on
-// patch_config_unauthorized_response_body
-func ValidatePatchConfigUnauthorizedResponseBody(body *PatchConfigUnauthorizedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidatePatchConfigUnavailableResponseBody runs the validations defined on
-// patch_config_unavailable_response_body
-func ValidatePatchConfigUnavailableResponseBody(body *PatchConfigUnavailableResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidatePatchConfigUnknownResponseBody runs the validations defined on
-// patch_config_unknown_response_body
-func ValidatePatchConfigUnknownResponseBody(body *PatchConfigUnknownResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidateConfigHistoryBadRequestResponseBody runs the validations defined on
-// config_history_bad_request_response_body
-func ValidateConfigHistoryBadRequestResponseBody(body *ConfigHistoryBadRequestResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidateConfigHistoryConflictResponseBody runs the validations defined on
-// config_history_conflict_response_body
-func ValidateConfigHistoryConflictResponseBody(body *ConfigHistoryConflictResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidateConfigHistoryNotFoundResponseBody runs the validations defined on
-// config_history_not_found_response_body
-func ValidateConfigHistoryNotFoundResponseBody(body *ConfigHistoryNotFoundResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
-// ValidateConfigHistoryRefusedResponseBody runs the validations defined on
-// config_history_refused_response_body
-func ValidateConfigHistoryRefusedResponseBody(body *ConfigHistoryRefusedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewGetConfigBadRequest builds a admin service get_config endpoint
+// bad_request error.
+func NewGetConfigBadRequest(body *GetConfigBadRequestResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
-}
+	v.RetryAfter = retryAfter
 
-// ValidateConfigHistoryUnauthorizedResponseBody runs the validations defined
-// on config_history_unauthorized_response_body
-func ValidateConfigHistoryUnauthorizedResponseBody(body *ConfigHistoryUnauthorizedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
+	return v
 }
 
-// ValidateConfigHistoryUnavailableResponseBody runs the validations defined on
-// config_history_unavailable_response_body
-func ValidateConfigHistoryUnavailableResponseBody(body *ConfigHistoryUnavailableResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewGetConfigConflict builds a admin service get_config endpoint conflict
+// error.
+func NewGetConfigConflict(body *GetConfigConflictResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateConfigHistoryUnknownResponseBody runs the validations defined on
-// config_history_unknown_response_body
-func ValidateConfigHistoryUnknownResponseBody(body *ConfigHistoryUnknownResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewGetConfigNotFound builds a admin service get_config endpoint not_found
+// error.
+func NewGetConfigNotFound(body *GetConfigNotFoundResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateVerdictBadRequestResponseBody runs the validations defined on
-// verdict_bad_request_response_body
-func ValidateVerdictBadRequestResponseBody(body *VerdictBadRequestResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewGetConfigRefused builds a admin service get_config endpoint refused error.
+func NewGetConfigRefused(body *GetConfigRefusedResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateVerdictConflictResponseBody runs the validations defined on
-// verdict_conflict_response_body
-func ValidateVerdictConflictResponseBody(body *VerdictConflictResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewGetConfigUnauthorized builds a admin service get_config endpoint
+// unauthorized error.
+func NewGetConfigUnauthorized(body *GetConfigUnauthorizedResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateVerdictNotFoundResponseBody runs the validations defined on
-// verdict_not_found_response_body
-func ValidateVerdictNotFoundResponseBody(body *VerdictNotFoundResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewGetConfigUnavailable builds a admin service get_config endpoint
+// unavailable error.
+func NewGetConfigUnavailable(body *GetConfigUnavailableResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateVerdictRefusedResponseBody runs the validations defined on
-// verdict_refused_response_body
-func ValidateVerdictRefusedResponseBody(body *VerdictRefusedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewGetConfigUnknown builds a admin service get_config endpoint unknown error.
+func NewGetConfigUnknown(body *GetConfigUnknownResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateVerdictUnauthorizedResponseBody runs the validations defined on
-// verdict_unauthorized_response_body
-func ValidateVerdictUnauthorizedResponseBody(body *VerdictUnauthorizedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
+// NewPatchConfigConfigOK builds a "admin" service "patch_config" endpoint
+// result from a HTTP "OK" response.
+func NewPatchConfigConfigOK(body *PatchConfigResponseBody) *admin.Config {
+	v := &admin.Config{
+		Version:  *body.Version,
+		Document: body.Document,
 	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+
+	return v
+}
+
+// NewPatchConfigBadRequest builds a admin service patch_config endpoint
+// bad_request error.
+func NewPatchConfigBadRequest(body *PatchConfigBadRequestResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateVerdictUnavailableResponseBody runs the validations defined on
-// verdict_unavailable_response_body
-func ValidateVerdictUnavailableResponseBody(body *VerdictUnavailableResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewPatchConfigConflict builds a admin service patch_config endpoint conflict
+// error.
+func NewPatchConfigConflict(body *PatchConfigConflictResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateVerdictUnknownResponseBody runs the validations defined on
-// verdict_unknown_response_body
-func ValidateVerdictUnknownResponseBody(body *VerdictUnknownResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewPatchConfigNotFound builds a admin service patch_config endpoint
+// not_found error.
+func NewPatchConfigNotFound(body *PatchConfigNotFoundResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateIssueKeyBadRequestResponseBody runs the validations defined on
-// issue_key_bad_request_response_body
-func ValidateIssueKeyBadRequestResponseBody(body *IssueKeyBadRequestResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
+// NewPatchConfigRefused builds a admin service patch_config endpoint refused
+// error.
+func NewPatchConfigRefused(body *PatchConfigRefusedResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPatchConfigUnauthorized builds a admin service patch_config endpoint
+// unauthorized error.
+func NewPatchConfigUnauthorized(body *PatchConfigUnauthorizedResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateIssueKeyConflictResponseBody runs the validations defined on
-// issue_key_conflict_response_body
-func ValidateIssueKeyConflictResponseBody(body *IssueKeyConflictResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewPatchConfigUnavailable builds a admin service patch_config endpoint
+// unavailable error.
+func NewPatchConfigUnavailable(body *PatchConfigUnavailableResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateIssueKeyNotFoundResponseBody runs the validations defined on
-// issue_key_not_found_response_body
-func ValidateIssueKeyNotFoundResponseBody(body *IssueKeyNotFoundResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewPatchConfigUnknown builds a admin service patch_config endpoint unknown
+// error.
+func NewPatchConfigUnknown(body *PatchConfigUnknownResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateIssueKeyRefusedResponseBody runs the validations defined on
-// issue_key_refused_response_body
-func ValidateIssueKeyRefusedResponseBody(body *IssueKeyRefusedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
+// NewShowFleetFleetViewOK builds a "admin" service "show_fleet" endpoint
+// result from a HTTP "OK" response.
+func NewShowFleetFleetViewOK(body *ShowFleetResponseBody) *admin.FleetView {
+	v := &admin.FleetView{
+		Owner: *body.Owner,
+		Term:  *body.Term,
 	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
+	v.Workers = make([]*admin.WorkerView, len(body.Workers))
+	for i, val := range body.Workers {
+		if val == nil {
+			v.Workers[i] = nil
+			continue
 		}
+		v.Workers[i] = unmarshalWorkerViewResponseBodyToAdminWorkerView(val)
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
+	v.Waves = make([]*admin.WaveView, len(body.Waves))
+	for i, val := range body.Waves {
+		if val == nil {
+			v.Waves[i] = nil
+			continue
 		}
+		v.Waves[i] = unmarshalWaveViewResponseBodyToAdminWaveView(val)
 	}
-	return
+
+	return v
 }
 
-// ValidateIssueKeyUnauthorizedResponseBody runs the validations defined on
-// issue_key_unauthorized_response_body
-func ValidateIssueKeyUnauthorizedResponseBody(body *IssueKeyUnauthorizedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewShowFleetBadRequest builds a admin service show_fleet endpoint
+// bad_request error.
+func NewShowFleetBadRequest(body *ShowFleetBadRequestResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateIssueKeyUnavailableResponseBody runs the validations defined on
-// issue_key_unavailable_response_body
-func ValidateIssueKeyUnavailableResponseBody(body *IssueKeyUnavailableResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewShowFleetConflict builds a admin service show_fleet endpoint conflict
+// error.
+func NewShowFleetConflict(body *ShowFleetConflictResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateIssueKeyUnknownResponseBody runs the validations defined on
-// issue_key_unknown_response_body
-func ValidateIssueKeyUnknownResponseBody(body *IssueKeyUnknownResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewShowFleetNotFound builds a admin service show_fleet endpoint not_found
+// error.
+func NewShowFleetNotFound(body *ShowFleetNotFoundResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateWithdrawKeyBadRequestResponseBody runs the validations defined on
-// withdraw_key_bad_request_response_body
-func ValidateWithdrawKeyBadRequestResponseBody(body *WithdrawKeyBadRequestResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewShowFleetRefused builds a admin service show_fleet endpoint refused error.
+func NewShowFleetRefused(body *ShowFleetRefusedResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateWithdrawKeyConflictResponseBody runs the validations defined on
-// withdraw_key_conflict_response_body
-func ValidateWithdrawKeyConflictResponseBody(body *WithdrawKeyConflictResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewShowFleetUnauthorized builds a admin service show_fleet endpoint
+// unauthorized error.
+func NewShowFleetUnauthorized(body *ShowFleetUnauthorizedResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateWithdrawKeyNotFoundResponseBody runs the validations defined on
-// withdraw_key_not_found_response_body
-func ValidateWithdrawKeyNotFoundResponseBody(body *WithdrawKeyNotFoundResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewShowFleetUnavailable builds a admin service show_fleet endpoint
+// unavailable error.
+func NewShowFleetUnavailable(body *ShowFleetUnavailableResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateWithdrawKeyRefusedResponseBody runs the validations defined on
-// withdraw_key_refused_response_body
-func ValidateWithdrawKeyRefusedResponseBody(body *WithdrawKeyRefusedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewShowFleetUnknown builds a admin service show_fleet endpoint unknown error.
+func NewShowFleetUnknown(body *ShowFleetUnknownResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateWithdrawKeyUnauthorizedResponseBody runs the validations defined on
-// withdraw_key_unauthorized_response_body
-func ValidateWithdrawKeyUnauthorizedResponseBody(body *WithdrawKeyUnauthorizedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
+// NewStartWaveWaveViewCreated builds a "admin" service "start_wave" endpoint
+// result from a HTTP "Created" response.
+func NewStartWaveWaveViewCreated(body *StartWaveResponseBody) *admin.WaveView {
+	v := &admin.WaveView{
+		Number: *body.Number,
+		Status: *body.Status,
+		Total:  *body.Total,
+		Begun:  *body.Begun,
 	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+
+	return v
+}
+
+// NewStartWaveBadRequest builds a admin service start_wave endpoint
+// bad_request error.
+func NewStartWaveBadRequest(body *StartWaveBadRequestResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateWithdrawKeyUnavailableResponseBody runs the validations defined on
-// withdraw_key_unavailable_response_body
-func ValidateWithdrawKeyUnavailableResponseBody(body *WithdrawKeyUnavailableResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewStartWaveConflict builds a admin service start_wave endpoint conflict
+// error.
+func NewStartWaveConflict(body *StartWaveConflictResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateWithdrawKeyUnknownResponseBody runs the validations defined on
-// withdraw_key_unknown_response_body
-func ValidateWithdrawKeyUnknownResponseBody(body *WithdrawKeyUnknownResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewStartWaveNotFound builds a admin service start_wave endpoint not_found
+// error.
+func NewStartWaveNotFound(body *StartWaveNotFoundResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateListKeysBadRequestResponseBody runs the validations defined on
-// list_keys_bad_request_response_body
-func ValidateListKeysBadRequestResponseBody(body *ListKeysBadRequestResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewStartWaveRefused builds a admin service start_wave endpoint refused error.
+func NewStartWaveRefused(body *StartWaveRefusedResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateListKeysConflictResponseBody runs the validations defined on
-// list_keys_conflict_response_body
-func ValidateListKeysConflictResponseBody(body *ListKeysConflictResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewStartWaveUnauthorized builds a admin service start_wave endpoint
+// unauthorized error.
+func NewStartWaveUnauthorized(body *StartWaveUnauthorizedResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateListKeysNotFoundResponseBody runs the validations defined on
-// list_keys_not_found_response_body
-func ValidateListKeysNotFoundResponseBody(body *ListKeysNotFoundResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewStartWaveUnavailable builds a admin service start_wave endpoint
+// unavailable error.
+func NewStartWaveUnavailable(body *StartWaveUnavailableResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateListKeysRefusedResponseBody runs the validations defined on
-// list_keys_refused_response_body
-func ValidateListKeysRefusedResponseBody(body *ListKeysRefusedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
+// NewStartWaveUnknown builds a admin service start_wave endpoint unknown error.
+func NewStartWaveUnknown(body *StartWaveUnknownResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
+		}
 	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReportBurnBurnReportOK builds a "admin" service "report_burn" endpoint
+// result from a HTTP "OK" response.
+func NewReportBurnBurnReportOK(body *ReportBurnResponseBody) *admin.BurnReport {
+	v := &admin.BurnReport{
+		At: *body.At,
 	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
+	v.Members = make([]string, len(body.Members))
+	for i, val := range body.Members {
+		v.Members[i] = val
 	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
+	v.Objectives = make([]*admin.BurnObjective, len(body.Objectives))
+	for i, val := range body.Objectives {
+		if val == nil {
+			v.Objectives[i] = nil
+			continue
 		}
+		v.Objectives[i] = unmarshalBurnObjectiveResponseBodyToAdminBurnObjective(val)
+	}
+
+	return v
+}
+
+// NewReportBurnBadRequest builds a admin service report_burn endpoint
+// bad_request error.
+func NewReportBurnBadRequest(body *ReportBurnBadRequestResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateListKeysUnauthorizedResponseBody runs the validations defined on
-// list_keys_unauthorized_response_body
-func ValidateListKeysUnauthorizedResponseBody(body *ListKeysUnauthorizedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewReportBurnConflict builds a admin service report_burn endpoint conflict
+// error.
+func NewReportBurnConflict(body *ReportBurnConflictResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateListKeysUnavailableResponseBody runs the validations defined on
-// list_keys_unavailable_response_body
-func ValidateListKeysUnavailableResponseBody(body *ListKeysUnavailableResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewReportBurnNotFound builds a admin service report_burn endpoint not_found
+// error.
+func NewReportBurnNotFound(body *ReportBurnNotFoundResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateListKeysUnknownResponseBody runs the validations defined on
-// list_keys_unknown_response_body
-func ValidateListKeysUnknownResponseBody(body *ListKeysUnknownResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewReportBurnRefused builds a admin service report_burn endpoint refused
+// error.
+func NewReportBurnRefused(body *ReportBurnRefusedResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateListInstancesBadRequestResponseBody runs the validations defined on
-// list_instances_bad_request_response_body
-func ValidateListInstancesBadRequestResponseBody(body *ListInstancesBadRequestResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewReportBurnUnauthorized builds a admin service report_burn endpoint
+// unauthorized error.
+func NewReportBurnUnauthorized(body *ReportBurnUnauthorizedResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateListInstancesConflictResponseBody runs the validations defined on
-// list_instances_conflict_response_body
-func ValidateListInstancesConflictResponseBody(body *ListInstancesConflictResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewReportBurnUnavailable builds a admin service report_burn endpoint
+// unavailable error.
+func NewReportBurnUnavailable(body *ReportBurnUnavailableResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateListInstancesNotFoundResponseBody runs the validations defined on
-// list_instances_not_found_response_body
-func ValidateListInstancesNotFoundResponseBody(body *ListInstancesNotFoundResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+// NewReportBurnUnknown builds a admin service report_burn endpoint unknown
+// error.
+func NewReportBurnUnknown(body *ReportBurnUnknownResponseBody, retryAfter *int) *admin.Problem {
+	v := &admin.Problem{
+		Name:           *body.Name,
+		Type:           *body.Type,
+		Title:          *body.Title,
+		Status:         *body.Status,
+		Detail:         *body.Detail,
+		Outcome:        body.Outcome,
+		Reason:         body.Reason,
+		JobID:          body.JobID,
+		CurrentVersion: body.CurrentVersion,
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
+	if body.Findings != nil {
+		v.Findings = make([]*admin.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
 			}
+			v.Findings[i] = unmarshalFindingResponseBodyToAdminFinding(val)
 		}
 	}
-	return
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// ValidateListInstancesRefusedResponseBody runs the validations defined on
-// list_instances_refused_response_body
-func ValidateListInstancesRefusedResponseBody(body *ListInstancesRefusedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+// ValidateGetConfigResponseBody runs the validations defined on
+// get_config_response_body
+func ValidateGetConfigResponseBody(body *GetConfigResponseBody) (err error) {
+	if body.Version == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("version", "body"))
 	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
+	if body.Document == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("document", "body"))
 	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+	return
+}
+
+// ValidatePatchConfigResponseBody runs the validations defined on
+// patch_config_response_body
+func ValidatePatchConfigResponseBody(body *PatchConfigResponseBody) (err error) {
+	if body.Version == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("version", "body"))
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
+	if body.Document == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("document", "body"))
 	}
 	return
 }
 
-// ValidateListInstancesUnauthorizedResponseBody runs the validations defined
-// on list_instances_unauthorized_response_body
-func ValidateListInstancesUnauthorizedResponseBody(body *ListInstancesUnauthorizedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+// ValidateShowFleetResponseBody runs the validations defined on
+// show_fleet_response_body
+func ValidateShowFleetResponseBody(body *ShowFleetResponseBody) (err error) {
+	if body.Owner == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("owner", "body"))
 	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	if body.Term == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("term", "body"))
 	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	if body.Workers == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("workers", "body"))
 	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
+	if body.Waves == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("waves", "body"))
 	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
+	for _, e := range body.Workers {
+		if e != nil {
+			if err2 := ValidateWorkerViewResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
 		}
 	}
-	for _, e := range body.Findings {
+	for _, e := range body.Waves {
 		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+			if err2 := ValidateWaveViewResponseBody(e); err2 != nil {
 				err = goa.MergeErrors(err, err2)
 			}
 		}
@@ -7417,65 +2206,47 @@
 	return
 }
 
-// ValidateListInstancesUnavailableResponseBody runs the validations defined on
-// list_instances_unavailable_response_body
-func ValidateListInstancesUnavailableResponseBody(body *ListInstancesUnavailableResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+// ValidateStartWaveResponseBody runs the validations defined on
+// start_wave_response_body
+func ValidateStartWaveResponseBody(body *StartWaveResponseBody) (err error) {
+	if body.Number == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("number", "body"))
 	}
 	if body.Status == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
+	if body.Total == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("total", "body"))
 	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+	if body.Begun == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("begun", "body"))
 	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
+	if body.Status != nil {
+		if !(*body.Status == "active" || *body.Status == "completed") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.status", *body.Status, []any{"active", "completed"}))
 		}
 	}
 	return
 }
 
-// ValidateListInstancesUnknownResponseBody runs the validations defined on
-// list_instances_unknown_response_body
-func ValidateListInstancesUnknownResponseBody(body *ListInstancesUnknownResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+// ValidateReportBurnResponseBody runs the validations defined on
+// report_burn_response_body
+func ValidateReportBurnResponseBody(body *ReportBurnResponseBody) (err error) {
+	if body.At == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("at", "body"))
 	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	if body.Members == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("members", "body"))
 	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
+	if body.Objectives == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("objectives", "body"))
 	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
+	if body.At != nil {
+		err = goa.MergeErrors(err, goa.ValidateFormat("body.at", *body.At, goa.FormatDateTime))
 	}
-	for _, e := range body.Findings {
+	for _, e := range body.Objectives {
 		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+			if err2 := ValidateBurnObjectiveResponseBody(e); err2 != nil {
 				err = goa.MergeErrors(err, err2)
 			}
 		}
@@ -7483,9 +2254,9 @@
 	return
 }
 
-// ValidateListMembersBadRequestResponseBody runs the validations defined on
-// list_members_bad_request_response_body
-func ValidateListMembersBadRequestResponseBody(body *ListMembersBadRequestResponseBody) (err error) {
+// ValidateGetConfigBadRequestResponseBody runs the validations defined on
+// get_config_bad_request_response_body
+func ValidateGetConfigBadRequestResponseBody(body *GetConfigBadRequestResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7516,9 +2287,9 @@
 	return
 }
 
-// ValidateListMembersConflictResponseBody runs the validations defined on
-// list_members_conflict_response_body
-func ValidateListMembersConflictResponseBody(body *ListMembersConflictResponseBody) (err error) {
+// ValidateGetConfigConflictResponseBody runs the validations defined on
+// get_config_conflict_response_body
+func ValidateGetConfigConflictResponseBody(body *GetConfigConflictResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7549,9 +2320,9 @@
 	return
 }
 
-// ValidateListMembersNotFoundResponseBody runs the validations defined on
-// list_members_not_found_response_body
-func ValidateListMembersNotFoundResponseBody(body *ListMembersNotFoundResponseBody) (err error) {
+// ValidateGetConfigNotFoundResponseBody runs the validations defined on
+// get_config_not_found_response_body
+func ValidateGetConfigNotFoundResponseBody(body *GetConfigNotFoundResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7582,9 +2353,9 @@
 	return
 }
 
-// ValidateListMembersRefusedResponseBody runs the validations defined on
-// list_members_refused_response_body
-func ValidateListMembersRefusedResponseBody(body *ListMembersRefusedResponseBody) (err error) {
+// ValidateGetConfigRefusedResponseBody runs the validations defined on
+// get_config_refused_response_body
+func ValidateGetConfigRefusedResponseBody(body *GetConfigRefusedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7615,9 +2386,9 @@
 	return
 }
 
-// ValidateListMembersUnauthorizedResponseBody runs the validations defined on
-// list_members_unauthorized_response_body
-func ValidateListMembersUnauthorizedResponseBody(body *ListMembersUnauthorizedResponseBody) (err error) {
+// ValidateGetConfigUnauthorizedResponseBody runs the validations defined on
+// get_config_unauthorized_response_body
+func ValidateGetConfigUnauthorizedResponseBody(body *GetConfigUnauthorizedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7648,9 +2419,9 @@
 	return
 }
 
-// ValidateListMembersUnavailableResponseBody runs the validations defined on
-// list_members_unavailable_response_body
-func ValidateListMembersUnavailableResponseBody(body *ListMembersUnavailableResponseBody) (err error) {
+// ValidateGetConfigUnavailableResponseBody runs the validations defined on
+// get_config_unavailable_response_body
+func ValidateGetConfigUnavailableResponseBody(body *GetConfigUnavailableResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7681,9 +2452,9 @@
 	return
 }
 
-// ValidateListMembersUnknownResponseBody runs the validations defined on
-// list_members_unknown_response_body
-func ValidateListMembersUnknownResponseBody(body *ListMembersUnknownResponseBody) (err error) {
+// ValidateGetConfigUnknownResponseBody runs the validations defined on
+// get_config_unknown_response_body
+func ValidateGetConfigUnknownResponseBody(body *GetConfigUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7714,9 +2485,9 @@
 	return
 }
 
-// ValidateStartWaveBadRequestResponseBody runs the validations defined on
-// start_wave_bad_request_response_body
-func ValidateStartWaveBadRequestResponseBody(body *StartWaveBadRequestResponseBody) (err error) {
+// ValidatePatchConfigBadRequestResponseBody runs the validations defined on
+// patch_config_bad_request_response_body
+func ValidatePatchConfigBadRequestResponseBody(body *PatchConfigBadRequestResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7747,9 +2518,9 @@
 	return
 }
 
-// ValidateStartWaveConflictResponseBody runs the validations defined on
-// start_wave_conflict_response_body
-func ValidateStartWaveConflictResponseBody(body *StartWaveConflictResponseBody) (err error) {
+// ValidatePatchConfigConflictResponseBody runs the validations defined on
+// patch_config_conflict_response_body
+func ValidatePatchConfigConflictResponseBody(body *PatchConfigConflictResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7780,9 +2551,9 @@
 	return
 }
 
-// ValidateStartWaveNotFoundResponseBody runs the validations defined on
-// start_wave_not_found_response_body
-func ValidateStartWaveNotFoundResponseBody(body *StartWaveNotFoundResponseBody) (err error) {
+// ValidatePatchConfigNotFoundResponseBody runs the validations defined on
+// patch_config_not_found_response_body
+func ValidatePatchConfigNotFoundResponseBody(body *PatchConfigNotFoundResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7813,9 +2584,9 @@
 	return
 }
 
-// ValidateStartWaveRefusedResponseBody runs the validations defined on
-// start_wave_refused_response_body
-func ValidateStartWaveRefusedResponseBody(body *StartWaveRefusedResponseBody) (err error) {
+// ValidatePatchConfigRefusedResponseBody runs the validations defined on
+// patch_config_refused_response_body
+func ValidatePatchConfigRefusedResponseBody(body *PatchConfigRefusedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7846,9 +2617,9 @@
 	return
 }
 
-// ValidateStartWaveUnauthorizedResponseBody runs the validations defined on
-// start_wave_unauthorized_response_body
-func ValidateStartWaveUnauthorizedResponseBody(body *StartWaveUnauthorizedResponseBody) (err error) {
+// ValidatePatchConfigUnauthorizedResponseBody runs the validations defined on
+// patch_config_unauthorized_response_body
+func ValidatePatchConfigUnauthorizedResponseBody(body *PatchConfigUnauthorizedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7879,9 +2650,9 @@
 	return
 }
 
-// ValidateStartWaveUnavailableResponseBody runs the validations defined on
-// start_wave_unavailable_response_body
-func ValidateStartWaveUnavailableResponseBody(body *StartWaveUnavailableResponseBody) (err error) {
+// ValidatePatchConfigUnavailableResponseBody runs the validations defined on
+// patch_config_unavailable_response_body
+func ValidatePatchConfigUnavailableResponseBody(body *PatchConfigUnavailableResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7912,9 +2683,9 @@
 	return
 }
 
-// ValidateStartWaveUnknownResponseBody runs the validations defined on
-// start_wave_unknown_response_body
-func ValidateStartWaveUnknownResponseBody(body *StartWaveUnknownResponseBody) (err error) {
+// ValidatePatchConfigUnknownResponseBody runs the validations defined on
+// patch_config_unknown_response_body
+func ValidatePatchConfigUnknownResponseBody(body *PatchConfigUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7945,9 +2716,9 @@
 	return
 }
 
-// ValidateListWavesBadRequestResponseBody runs the validations defined on
-// list_waves_bad_request_response_body
-func ValidateListWavesBadRequestResponseBody(body *ListWavesBadRequestResponseBody) (err error) {
+// ValidateShowFleetBadRequestResponseBody runs the validations defined on
+// show_fleet_bad_request_response_body
+func ValidateShowFleetBadRequestResponseBody(body *ShowFleetBadRequestResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7978,9 +2749,9 @@
 	return
 }
 
-// ValidateListWavesConflictResponseBody runs the validations defined on
-// list_waves_conflict_response_body
-func ValidateListWavesConflictResponseBody(body *ListWavesConflictResponseBody) (err error) {
+// ValidateShowFleetConflictResponseBody runs the validations defined on
+// show_fleet_conflict_response_body
+func ValidateShowFleetConflictResponseBody(body *ShowFleetConflictResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8011,9 +2782,9 @@
 	return
 }
 
-// ValidateListWavesNotFoundResponseBody runs the validations defined on
-// list_waves_not_found_response_body
-func ValidateListWavesNotFoundResponseBody(body *ListWavesNotFoundResponseBody) (err error) {
+// ValidateShowFleetNotFoundResponseBody runs the validations defined on
+// show_fleet_not_found_response_body
+func ValidateShowFleetNotFoundResponseBody(body *ShowFleetNotFoundResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8044,9 +2815,9 @@
 	return
 }
 
-// ValidateListWavesRefusedResponseBody runs the validations defined on
-// list_waves_refused_response_body
-func ValidateListWavesRefusedResponseBody(body *ListWavesRefusedResponseBody) (err error) {
+// ValidateShowFleetRefusedResponseBody runs the validations defined on
+// show_fleet_refused_response_body
+func ValidateShowFleetRefusedResponseBody(body *ShowFleetRefusedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8077,9 +2848,9 @@
 	return
 }
 
-// ValidateListWavesUnauthorizedResponseBody runs the validations defined on
-// list_waves_unauthorized_response_body
-func ValidateListWavesUnauthorizedResponseBody(body *ListWavesUnauthorizedResponseBody) (err error) {
+// ValidateShowFleetUnauthorizedResponseBody runs the validations defined on
+// show_fleet_unauthorized_response_body
+func ValidateShowFleetUnauthorizedResponseBody(body *ShowFleetUnauthorizedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8110,9 +2881,9 @@
 	return
 }
 
-// ValidateListWavesUnavailableResponseBody runs the validations defined on
-// list_waves_unavailable_response_body
-func ValidateListWavesUnavailableResponseBody(body *ListWavesUnavailableResponseBody) (err error) {
+// ValidateShowFleetUnavailableResponseBody runs the validations defined on
+// show_fleet_unavailable_response_body
+func ValidateShowFleetUnavailableResponseBody(body *ShowFleetUnavailableResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8143,9 +2914,9 @@
 	return
 }
 
-// ValidateListWavesUnknownResponseBody runs the validations defined on
-// list_waves_unknown_response_body
-func ValidateListWavesUnknownResponseBody(body *ListWavesUnknownResponseBody) (err error) {
+// ValidateShowFleetUnknownResponseBody runs the validations defined on
+// show_fleet_unknown_response_body
+func ValidateShowFleetUnknownResponseBody(body *ShowFleetUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8176,9 +2947,9 @@
 	return
 }
 
-// ValidateChangeWaveBadRequestResponseBody runs the validations defined on
-// change_wave_bad_request_response_body
-func ValidateChangeWaveBadRequestResponseBody(body *ChangeWaveBadRequestResponseBody) (err error) {
+// ValidateStartWaveBadRequestResponseBody runs the validations defined on
+// start_wave_bad_request_response_body
+func ValidateStartWaveBadRequestResponseBody(body *StartWaveBadRequestResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8209,9 +2980,9 @@
 	return
 }
 
-// ValidateChangeWaveConflictResponseBody runs the validations defined on
-// change_wave_conflict_response_body
-func ValidateChangeWaveConflictResponseBody(body *ChangeWaveConflictResponseBody) (err error) {
+// ValidateStartWaveConflictResponseBody runs the validations defined on
+// start_wave_conflict_response_body
+func ValidateStartWaveConflictResponseBody(body *StartWaveConflictResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8242,9 +3013,9 @@
 	return
 }
 
-// ValidateChangeWaveNotFoundResponseBody runs the validations defined on
-// change_wave_not_found_response_body
-func ValidateChangeWaveNotFoundResponseBody(body *ChangeWaveNotFoundResponseBody) (err error) {
+// ValidateStartWaveNotFoundResponseBody runs the validations defined on
+// start_wave_not_found_response_body
+func ValidateStartWaveNotFoundResponseBody(body *StartWaveNotFoundResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8275,9 +3046,9 @@
 	return
 }
 
-// ValidateChangeWaveRefusedResponseBody runs the validations defined on
-// change_wave_refused_response_body
-func ValidateChangeWaveRefusedResponseBody(body *ChangeWaveRefusedResponseBody) (err error) {
+// ValidateStartWaveRefusedResponseBody runs the validations defined on
+// start_wave_refused_response_body
+func ValidateStartWaveRefusedResponseBody(body *StartWaveRefusedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8308,9 +3079,9 @@
 	return
 }
 
-// ValidateChangeWaveUnauthorizedResponseBody runs the validations defined on
-// change_wave_unauthorized_response_body
-func ValidateChangeWaveUnauthorizedResponseBody(body *ChangeWaveUnauthorizedResponseBody) (err error) {
+// ValidateStartWaveUnauthorizedResponseBody runs the validations defined on
+// start_wave_unauthorized_response_body
+func ValidateStartWaveUnauthorizedResponseBody(body *StartWaveUnauthorizedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8341,9 +3112,9 @@
 	return
 }
 
-// ValidateChangeWaveUnavailableResponseBody runs the validations defined on
-// change_wave_unavailable_response_body
-func ValidateChangeWaveUnavailableResponseBody(body *ChangeWaveUnavailableResponseBody) (err error) {
+// ValidateStartWaveUnavailableResponseBody runs the validations defined on
+// start_wave_unavailable_response_body
+func ValidateStartWaveUnavailableResponseBody(body *StartWaveUnavailableResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8374,9 +3145,9 @@
 	return
 }
 
-// ValidateChangeWaveUnknownResponseBody runs the validations defined on
-// change_wave_unknown_response_body
-func ValidateChangeWaveUnknownResponseBody(body *ChangeWaveUnknownResponseBody) (err error) {
+// ValidateStartWaveUnknownResponseBody runs the validations defined on
+// start_wave_unknown_response_body
+func ValidateStartWaveUnknownResponseBody(body *StartWaveUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8650,52 +3421,9 @@
 	return
 }
 
-// ValidateMemberProgressResponseBody runs the validations defined on
-// MemberProgressResponseBody
-func ValidateMemberProgressResponseBody(body *MemberProgressResponseBody) (err error) {
-	if body.Member == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("member", "body"))
-	}
-	if body.InForce == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
-	}
-	if body.AfterMs == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("after_ms", "body"))
-	}
-	return
-}
-
-// ValidateChangeResponse runs the validations defined on ChangeResponse
-func ValidateChangeResponse(body *ChangeResponse) (err error) {
-	if body.Version == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("version", "body"))
-	}
-	if body.Offset == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("offset", "body"))
-	}
-	if body.Record == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("record", "body"))
-	}
-	return
-}
-
-// ValidateKeyViewResponse runs the validations defined on KeyViewResponse
-func ValidateKeyViewResponse(body *KeyViewResponse) (err error) {
-	if body.KeyID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("key_id", "body"))
-	}
-	if body.Team == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("team", "body"))
-	}
-	if body.Issued == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("issued", "body"))
-	}
-	return
-}
-
-// ValidateInstanceViewResponse runs the validations defined on
-// InstanceViewResponse
-func ValidateInstanceViewResponse(body *InstanceViewResponse) (err error) {
+// ValidateWorkerViewResponseBody runs the validations defined on
+// WorkerViewResponseBody
+func ValidateWorkerViewResponseBody(body *WorkerViewResponseBody) (err error) {
 	if body.ID == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
 	}
@@ -8708,42 +3436,34 @@
 	if body.Rack == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("rack", "body"))
 	}
+	if body.Instance == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("instance", "body"))
+	}
 	if body.Phase == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("phase", "body"))
 	}
-	if body.Healthy == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("healthy", "body"))
-	}
-	return
-}
-
-// ValidateMemberViewResponse runs the validations defined on MemberViewResponse
-func ValidateMemberViewResponse(body *MemberViewResponse) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	if body.Runs == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("runs", "body"))
 	}
-	if body.Incarnation == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("incarnation", "body"))
+	if body.UsedCores == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("used_cores", "body"))
 	}
-	if body.Address == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("address", "body"))
+	if body.Cores == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("cores", "body"))
 	}
-	if body.Zone == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("zone", "body"))
+	if body.Phase != nil {
+		if !(*body.Phase == "in-service" || *body.Phase == "draining" || *body.Phase == "lost") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.phase", *body.Phase, []any{"in-service", "draining", "lost"}))
+		}
 	}
 	return
 }
 
-// ValidateWaveViewResponse runs the validations defined on WaveViewResponse
-func ValidateWaveViewResponse(body *WaveViewResponse) (err error) {
-	if body.Wave == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("wave", "body"))
-	}
-	if body.Action == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("action", "body"))
-	}
-	if body.Pools == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("pools", "body"))
+// ValidateWaveViewResponseBody runs the validations defined on
+// WaveViewResponseBody
+func ValidateWaveViewResponseBody(body *WaveViewResponseBody) (err error) {
+	if body.Number == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("number", "body"))
 	}
 	if body.Status == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
@@ -8751,14 +3471,13 @@
 	if body.Total == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("total", "body"))
 	}
-	if body.Done == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("done", "body"))
+	if body.Begun == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("begun", "body"))
 	}
-	if body.Out == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("out", "body"))
-	}
-	if body.ExpectedEnd != nil {
-		err = goa.MergeErrors(err, goa.ValidateFormat("body.expected_end", *body.ExpectedEnd, goa.FormatDateTime))
+	if body.Status != nil {
+		if !(*body.Status == "active" || *body.Status == "completed") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.status", *body.Status, []any{"active", "completed"}))
+		}
 	}
 	return
 }
@@ -8769,11 +3488,11 @@
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.Pool == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("pool", "body"))
+	if body.Queue == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("queue", "body"))
 	}
-	if body.Team == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("team", "body"))
+	if body.Organisation == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("organisation", "body"))
 	}
 	if body.Target == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("target", "body"))
