--- a/gen/http/admin/server/encode_decode.go
+++ b/gen/http/admin/server/encode_decode.go
@@ -23,7 +23,7 @@
 // admin get_config endpoint.
 func EncodeGetConfigResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
 	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res, _ := v.(*admin.GetConfigResult)
+		res, _ := v.(*admin.Config)
 		enc := encoder(ctx, w)
 		body := NewGetConfigResponseBody(res)
 		w.WriteHeader(http.StatusOK)
@@ -70,6 +70,11 @@
 			} else {
 				body = NewGetConfigBadRequestResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
@@ -84,6 +89,11 @@
 			} else {
 				body = NewGetConfigConflictResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusPreconditionFailed)
 			return enc.Encode(body)
@@ -98,6 +108,11 @@
 			} else {
 				body = NewGetConfigNotFoundResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
@@ -112,6 +127,11 @@
 			} else {
 				body = NewGetConfigRefusedResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnprocessableEntity)
 			return enc.Encode(body)
@@ -126,6 +146,11 @@
 			} else {
 				body = NewGetConfigUnauthorizedResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
@@ -140,6 +165,11 @@
 			} else {
 				body = NewGetConfigUnavailableResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
@@ -154,6 +184,11 @@
 			} else {
 				body = NewGetConfigUnknownResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusGatewayTimeout)
 			return enc.Encode(body)
@@ -167,7 +202,7 @@
 // admin patch_config endpoint.
 func EncodePatchConfigResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
 	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res, _ := v.(*admin.Verdict)
+		res, _ := v.(*admin.Config)
 		enc := encoder(ctx, w)
 		body := NewPatchConfigResponseBody(res)
 		w.WriteHeader(http.StatusOK)
@@ -181,34 +216,18 @@
 	return func(r *http.Request) (*admin.PatchConfigPayload, error) {
 		var payload *admin.PatchConfigPayload
 		var (
-			wait          bool
 			authorization *string
-			recordID      *string
-			ifMatch       *string
+			ifMatch       string
 			contentType   *string
 			err           error
 		)
-		{
-			waitRaw := r.URL.Query().Get("wait")
-			if waitRaw != "" {
-				v, err2 := strconv.ParseBool(waitRaw)
-				if err2 != nil {
-					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("wait", waitRaw, "boolean"))
-				}
-				wait = v
-			}
-		}
 		authorizationRaw := r.Header.Get("Authorization")
 		if authorizationRaw != "" {
 			authorization = &authorizationRaw
 		}
-		recordIDRaw := r.Header.Get("Idempotency-Key")
-		if recordIDRaw != "" {
-			recordID = &recordIDRaw
-		}
-		ifMatchRaw := r.Header.Get("If-Match")
-		if ifMatchRaw != "" {
-			ifMatch = &ifMatchRaw
+		ifMatch = r.Header.Get("If-Match")
+		if ifMatch == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("if_match", "header"))
 		}
 		contentTypeRaw := r.Header.Get("Content-Type")
 		if contentTypeRaw != "" {
@@ -217,7 +236,7 @@
 		if err != nil {
 			return payload, err
 		}
-		payload = NewPatchConfigPayload(wait, authorization, recordID, ifMatch, contentType)
+		payload = NewPatchConfigPayload(authorization, ifMatch, contentType)
 
 		return payload, nil
 	}
@@ -244,6 +263,11 @@
 			} else {
 				body = NewPatchConfigBadRequestResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
@@ -258,6 +282,11 @@
 			} else {
 				body = NewPatchConfigConflictResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusPreconditionFailed)
 			return enc.Encode(body)
@@ -272,6 +301,11 @@
 			} else {
 				body = NewPatchConfigNotFoundResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
@@ -286,6 +320,11 @@
 			} else {
 				body = NewPatchConfigRefusedResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnprocessableEntity)
 			return enc.Encode(body)
@@ -300,6 +339,11 @@
 			} else {
 				body = NewPatchConfigUnauthorizedResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
@@ -314,6 +358,11 @@
 			} else {
 				body = NewPatchConfigUnavailableResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
@@ -328,149 +377,10 @@
 			} else {
 				body = NewPatchConfigUnknownResponseBody(res)
 			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusGatewayTimeout)
-			return enc.Encode(body)
-		default:
-			return encodeError(ctx, w, v)
-		}
-	}
-}
-
-// EncodeConfigHistoryResponse returns an encoder for responses returned by the
-// admin config_history endpoint.
-func EncodeConfigHistoryResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
-	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res, _ := v.([]*admin.Change)
-		enc := encoder(ctx, w)
-		body := NewConfigHistoryResponseBody(res)
-		w.WriteHeader(http.StatusOK)
-		return enc.Encode(body)
-	}
-}
-
-// DecodeConfigHistoryRequest returns a decoder for requests sent to the admin
-// config_history endpoint.
-func DecodeConfigHistoryRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*admin.ConfigHistoryPayload, error) {
-	return func(r *http.Request) (*admin.ConfigHistoryPayload, error) {
-		var payload *admin.ConfigHistoryPayload
-		var (
-			authorization *string
-		)
-		authorizationRaw := r.Header.Get("Authorization")
-		if authorizationRaw != "" {
-			authorization = &authorizationRaw
-		}
-		payload = NewConfigHistoryPayload(authorization)
-
-		return payload, nil
-	}
-}
-
-// EncodeConfigHistoryError returns an encoder for errors returned by the
-// config_history admin endpoint.
-func EncodeConfigHistoryError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
-	encodeError := goahttp.ErrorEncoder(encoder, formatter)
-	return func(ctx context.Context, w http.ResponseWriter, v error) error {
-		var en goa.GoaErrorNamer
-		if !errors.As(v, &en) {
-			return encodeError(ctx, w, v)
-		}
-		switch en.GoaErrorName() {
-		case "bad_request":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewConfigHistoryBadRequestResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusBadRequest)
-			return enc.Encode(body)
-		case "conflict":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewConfigHistoryConflictResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusPreconditionFailed)
-			return enc.Encode(body)
-		case "not_found":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewConfigHistoryNotFoundResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusNotFound)
-			return enc.Encode(body)
-		case "refused":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewConfigHistoryRefusedResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusUnprocessableEntity)
-			return enc.Encode(body)
-		case "unauthorized":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewConfigHistoryUnauthorizedResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusUnauthorized)
-			return enc.Encode(body)
-		case "unavailable":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewConfigHistoryUnavailableResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return enc.Encode(body)
-		case "unknown":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewConfigHistoryUnknownResponseBody(res)
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusGatewayTimeout)
@@ -481,43 +391,39 @@
 	}
 }
 
-// EncodeVerdictEndpointResponse returns an encoder for responses returned by
-// the admin verdict endpoint.
-func EncodeVerdictEndpointResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+// EncodeShowFleetResponse returns an encoder for responses returned by the
+// admin show_fleet endpoint.
+func EncodeShowFleetResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
 	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res, _ := v.(*admin.Verdict)
+		res, _ := v.(*admin.FleetView)
 		enc := encoder(ctx, w)
-		body := NewVerdictResponseBody(res)
+		body := NewShowFleetResponseBody(res)
 		w.WriteHeader(http.StatusOK)
 		return enc.Encode(body)
 	}
 }
 
-// DecodeVerdictEndpointRequest returns a decoder for requests sent to the
-// admin verdict endpoint.
-func DecodeVerdictEndpointRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*admin.VerdictPayload, error) {
-	return func(r *http.Request) (*admin.VerdictPayload, error) {
-		var payload *admin.VerdictPayload
+// DecodeShowFleetRequest returns a decoder for requests sent to the admin
+// show_fleet endpoint.
+func DecodeShowFleetRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*admin.ShowFleetPayload, error) {
+	return func(r *http.Request) (*admin.ShowFleetPayload, error) {
+		var payload *admin.ShowFleetPayload
 		var (
-			id            string
 			authorization *string
-
-			params = mux.Vars(r)
 		)
-		id = params["id"]
 		authorizationRaw := r.Header.Get("Authorization")
 		if authorizationRaw != "" {
 			authorization = &authorizationRaw
 		}
-		payload = NewVerdictPayload(id, authorization)
+		payload = NewShowFleetPayload(authorization)
 
 		return payload, nil
 	}
 }
 
-// EncodeVerdictEndpointError returns an encoder for errors returned by the
-// verdict admin endpoint.
-func EncodeVerdictEndpointError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+// EncodeShowFleetError returns an encoder for errors returned by the
+// show_fleet admin endpoint.
+func EncodeShowFleetError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
 	encodeError := goahttp.ErrorEncoder(encoder, formatter)
 	return func(ctx context.Context, w http.ResponseWriter, v error) error {
 		var en goa.GoaErrorNamer
@@ -534,7 +440,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewVerdictBadRequestResponseBody(res)
+				body = NewShowFleetBadRequestResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadRequest)
@@ -548,7 +459,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewVerdictConflictResponseBody(res)
+				body = NewShowFleetConflictResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusPreconditionFailed)
@@ -562,7 +478,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewVerdictNotFoundResponseBody(res)
+				body = NewShowFleetNotFoundResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
@@ -576,7 +497,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewVerdictRefusedResponseBody(res)
+				body = NewShowFleetRefusedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnprocessableEntity)
@@ -590,7 +516,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewVerdictUnauthorizedResponseBody(res)
+				body = NewShowFleetUnauthorizedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
@@ -604,7 +535,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewVerdictUnavailableResponseBody(res)
+				body = NewShowFleetUnavailableResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -618,7 +554,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewVerdictUnknownResponseBody(res)
+				body = NewShowFleetUnknownResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusGatewayTimeout)
@@ -629,25 +570,25 @@
 	}
 }
 
-// EncodeIssueKeyResponse returns an encoder for responses returned by the
-// admin issue_key endpoint.
-func EncodeIssueKeyResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+// EncodeStartWaveResponse returns an encoder for responses returned by the
+// admin start_wave endpoint.
+func EncodeStartWaveResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
 	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res, _ := v.(*admin.IssueKeyResult)
+		res, _ := v.(*admin.WaveView)
 		enc := encoder(ctx, w)
-		body := NewIssueKeyResponseBody(res)
+		body := NewStartWaveResponseBody(res)
 		w.WriteHeader(http.StatusCreated)
 		return enc.Encode(body)
 	}
 }
 
-// DecodeIssueKeyRequest returns a decoder for requests sent to the admin
-// issue_key endpoint.
-func DecodeIssueKeyRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*admin.IssueKeyPayload, error) {
-	return func(r *http.Request) (*admin.IssueKeyPayload, error) {
-		var payload *admin.IssueKeyPayload
+// DecodeStartWaveRequest returns a decoder for requests sent to the admin
+// start_wave endpoint.
+func DecodeStartWaveRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*admin.StartWavePayload, error) {
+	return func(r *http.Request) (*admin.StartWavePayload, error) {
+		var payload *admin.StartWavePayload
 		var (
-			body IssueKeyRequestBody
+			body StartWaveRequestBody
 			err  error
 		)
 		err = decoder(r).Decode(&body)
@@ -661,32 +602,27 @@
 			}
 			return payload, goa.DecodePayloadError(err.Error())
 		}
-		err = ValidateIssueKeyRequestBody(&body)
+		err = ValidateStartWaveRequestBody(&body)
 		if err != nil {
 			return payload, err
 		}
 
 		var (
 			authorization *string
-			recordID      *string
 		)
 		authorizationRaw := r.Header.Get("Authorization")
 		if authorizationRaw != "" {
 			authorization = &authorizationRaw
 		}
-		recordIDRaw := r.Header.Get("Idempotency-Key")
-		if recordIDRaw != "" {
-			recordID = &recordIDRaw
-		}
-		payload = NewIssueKeyPayload(&body, authorization, recordID)
+		payload = NewStartWavePayload(&body, authorization)
 
 		return payload, nil
 	}
 }
 
-// EncodeIssueKeyError returns an encoder for errors returned by the issue_key
-// admin endpoint.
-func EncodeIssueKeyError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+// EncodeStartWaveError returns an encoder for errors returned by the
+// start_wave admin endpoint.
+func EncodeStartWaveError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
 	encodeError := goahttp.ErrorEncoder(encoder, formatter)
 	return func(ctx context.Context, w http.ResponseWriter, v error) error {
 		var en goa.GoaErrorNamer
@@ -703,7 +639,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewIssueKeyBadRequestResponseBody(res)
+				body = NewStartWaveBadRequestResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadRequest)
@@ -717,7 +658,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewIssueKeyConflictResponseBody(res)
+				body = NewStartWaveConflictResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusPreconditionFailed)
@@ -731,7 +677,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewIssueKeyNotFoundResponseBody(res)
+				body = NewStartWaveNotFoundResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
@@ -745,7 +696,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewIssueKeyRefusedResponseBody(res)
+				body = NewStartWaveRefusedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnprocessableEntity)
@@ -759,7 +715,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewIssueKeyUnauthorizedResponseBody(res)
+				body = NewStartWaveUnauthorizedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
@@ -773,7 +734,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewIssueKeyUnavailableResponseBody(res)
+				body = NewStartWaveUnavailableResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -787,7 +753,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewIssueKeyUnknownResponseBody(res)
+				body = NewStartWaveUnknownResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusGatewayTimeout)
@@ -798,63 +769,39 @@
 	}
 }
 
-// EncodeWithdrawKeyResponse returns an encoder for responses returned by the
-// admin withdraw_key endpoint.
-func EncodeWithdrawKeyResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+// EncodeReportBurnResponse returns an encoder for responses returned by the
+// admin report_burn endpoint.
+func EncodeReportBurnResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
 	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res, _ := v.(*admin.Verdict)
+		res, _ := v.(*admin.BurnReport)
 		enc := encoder(ctx, w)
-		body := NewWithdrawKeyResponseBody(res)
+		body := NewReportBurnResponseBody(res)
 		w.WriteHeader(http.StatusOK)
 		return enc.Encode(body)
 	}
 }
 
-// DecodeWithdrawKeyRequest returns a decoder for requests sent to the admin
-// withdraw_key endpoint.
-func DecodeWithdrawKeyRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*admin.WithdrawKeyPayload, error) {
-	return func(r *http.Request) (*admin.WithdrawKeyPayload, error) {
-		var payload *admin.WithdrawKeyPayload
+// DecodeReportBurnRequest returns a decoder for requests sent to the admin
+// report_burn endpoint.
+func DecodeReportBurnRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*admin.ReportBurnPayload, error) {
+	return func(r *http.Request) (*admin.ReportBurnPayload, error) {
+		var payload *admin.ReportBurnPayload
 		var (
-			keyID         string
-			wait          bool
 			authorization *string
-			recordID      *string
-			err           error
-
-			params = mux.Vars(r)
 		)
-		keyID = params["key_id"]
-		{
-			waitRaw := r.URL.Query().Get("wait")
-			if waitRaw != "" {
-				v, err2 := strconv.ParseBool(waitRaw)
-				if err2 != nil {
-					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("wait", waitRaw, "boolean"))
-				}
-				wait = v
-			}
-		}
 		authorizationRaw := r.Header.Get("Authorization")
 		if authorizationRaw != "" {
 			authorization = &authorizationRaw
 		}
-		recordIDRaw := r.Header.Get("Idempotency-Key")
-		if recordIDRaw != "" {
-			recordID = &recordIDRaw
-		}
-		if err != nil {
-			return payload, err
-		}
-		payload = NewWithdrawKeyPayload(keyID, wait, authorization, recordID)
+		payload = NewReportBurnPayload(authorization)
 
 		return payload, nil
 	}
 }
 
-// EncodeWithdrawKeyError returns an encoder for errors returned by the
-// withdraw_key admin endpoint.
-func EncodeWithdrawKeyError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+// EncodeReportBurnError returns an encoder for errors returned by the
+// report_burn admin endpoint.
+func EncodeReportBurnError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
 	encodeError := goahttp.ErrorEncoder(encoder, formatter)
 	return func(ctx context.Context, w http.ResponseWriter, v error) error {
 		var en goa.GoaErrorNamer
@@ -871,7 +818,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewWithdrawKeyBadRequestResponseBody(res)
+				body = NewReportBurnBadRequestResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadRequest)
@@ -885,7 +837,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewWithdrawKeyConflictResponseBody(res)
+				body = NewReportBurnConflictResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusPreconditionFailed)
@@ -899,7 +856,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewWithdrawKeyNotFoundResponseBody(res)
+				body = NewReportBurnNotFoundResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
@@ -913,7 +875,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewWithdrawKeyRefusedResponseBody(res)
+				body = NewReportBurnRefusedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnprocessableEntity)
@@ -927,7 +894,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewWithdrawKeyUnauthorizedResponseBody(res)
+				body = NewReportBurnUnauthorizedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
@@ -941,7 +913,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewWithdrawKeyUnavailableResponseBody(res)
+				body = NewReportBurnUnavailableResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -955,7 +932,12 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewWithdrawKeyUnknownResponseBody(res)
+				body = NewReportBurnUnknownResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusGatewayTimeout)
@@ -966,1206 +948,46 @@
 	}
 }
 
-// EncodeListKeysResponse returns an encoder for responses returned by the
-// admin list_keys endpoint.
-func EncodeListKeysResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
-	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res, _ := v.([]*admin.KeyView)
-		enc := encoder(ctx, w)
-		body := NewListKeysResponseBody(res)
-		w.WriteHeader(http.StatusOK)
-		return enc.Encode(body)
+// marshalAdminFindingToFindingResponseBody builds a value of type
+// *FindingResponseBody from a value of type *admin.Finding.
+func marshalAdminFindingToFindingResponseBody(v *admin.Finding) *FindingResponseBody {
+	if v == nil {
+		return nil
+	}
+	res := &FindingResponseBody{
+		Place:   v.Place,
+		Message: v.Message,
 	}
-}
 
-// DecodeListKeysRequest returns a decoder for requests sent to the admin
-// list_keys endpoint.
-func DecodeListKeysRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*admin.ListKeysPayload, error) {
-	return func(r *http.Request) (*admin.ListKeysPayload, error) {
-		var payload *admin.ListKeysPayload
-		var (
-			authorization *string
-		)
-		authorizationRaw := r.Header.Get("Authorization")
-		if authorizationRaw != "" {
-			authorization = &authorizationRaw
-		}
-		payload = NewListKeysPayload(authorization)
+	return res
+}
 
-		return payload, nil
+// marshalAdminWorkerViewToWorkerViewResponseBody builds a value of type
+// *WorkerViewResponseBody from a value of type *admin.WorkerView.
+func marshalAdminWorkerViewToWorkerViewResponseBody(v *admin.WorkerView) *WorkerViewResponseBody {
+	res := &WorkerViewResponseBody{
+		ID:        v.ID,
+		Pool:      v.Pool,
+		Zone:      v.Zone,
+		Rack:      v.Rack,
+		Instance:  v.Instance,
+		Phase:     v.Phase,
+		Runs:      v.Runs,
+		UsedCores: v.UsedCores,
+		Cores:     v.Cores,
 	}
+
+	return res
 }
 
-// EncodeListKeysError returns an encoder for errors returned by the list_keys
-// admin endpoint.
-func EncodeListKeysError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
-	encodeError := goahttp.ErrorEncoder(encoder, formatter)
-	return func(ctx context.Context, w http.ResponseWriter, v error) error {
-		var en goa.GoaErrorNamer
-		if !errors.As(v, &en) {
-			return encodeError(ctx, w, v)
-		}
-		switch en.GoaErrorName() {
-		case "bad_request":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListKeysBadRequestResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusBadRequest)
-			return enc.Encode(body)
-		case "conflict":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListKeysConflictResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusPreconditionFailed)
-			return enc.Encode(body)
-		case "not_found":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListKeysNotFoundResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusNotFound)
-			return enc.Encode(body)
-		case "refused":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListKeysRefusedResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusUnprocessableEntity)
-			return enc.Encode(body)
-		case "unauthorized":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListKeysUnauthorizedResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusUnauthorized)
-			return enc.Encode(body)
-		case "unavailable":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListKeysUnavailableResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return enc.Encode(body)
-		case "unknown":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListKeysUnknownResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusGatewayTimeout)
-			return enc.Encode(body)
-		default:
-			return encodeError(ctx, w, v)
-		}
-	}
-}
-
-// EncodeListInstancesResponse returns an encoder for responses returned by the
-// admin list_instances endpoint.
-func EncodeListInstancesResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
-	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res, _ := v.([]*admin.InstanceView)
-		enc := encoder(ctx, w)
-		body := NewListInstancesResponseBody(res)
-		w.WriteHeader(http.StatusOK)
-		return enc.Encode(body)
-	}
-}
-
-// DecodeListInstancesRequest returns a decoder for requests sent to the admin
-// list_instances endpoint.
-func DecodeListInstancesRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*admin.ListInstancesPayload, error) {
-	return func(r *http.Request) (*admin.ListInstancesPayload, error) {
-		var payload *admin.ListInstancesPayload
-		var (
-			authorization *string
-		)
-		authorizationRaw := r.Header.Get("Authorization")
-		if authorizationRaw != "" {
-			authorization = &authorizationRaw
-		}
-		payload = NewListInstancesPayload(authorization)
-
-		return payload, nil
-	}
-}
-
-// EncodeListInstancesError returns an encoder for errors returned by the
-// list_instances admin endpoint.
-func EncodeListInstancesError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
-	encodeError := goahttp.ErrorEncoder(encoder, formatter)
-	return func(ctx context.Context, w http.ResponseWriter, v error) error {
-		var en goa.GoaErrorNamer
-		if !errors.As(v, &en) {
-			return encodeError(ctx, w, v)
-		}
-		switch en.GoaErrorName() {
-		case "bad_request":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListInstancesBadRequestResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusBadRequest)
-			return enc.Encode(body)
-		case "conflict":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListInstancesConflictResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusPreconditionFailed)
-			return enc.Encode(body)
-		case "not_found":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListInstancesNotFoundResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusNotFound)
-			return enc.Encode(body)
-		case "refused":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListInstancesRefusedResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusUnprocessableEntity)
-			return enc.Encode(body)
-		case "unauthorized":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListInstancesUnauthorizedResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusUnauthorized)
-			return enc.Encode(body)
-		case "unavailable":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListInstancesUnavailableResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return enc.Encode(body)
-		case "unknown":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListInstancesUnknownResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusGatewayTimeout)
-			return enc.Encode(body)
-		default:
-			return encodeError(ctx, w, v)
-		}
-	}
-}
-
-// EncodeListMembersResponse returns an encoder for responses returned by the
-// admin list_members endpoint.
-func EncodeListMembersResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
-	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res, _ := v.([]*admin.MemberView)
-		enc := encoder(ctx, w)
-		body := NewListMembersResponseBody(res)
-		w.WriteHeader(http.StatusOK)
-		return enc.Encode(body)
-	}
-}
-
-// DecodeListMembersRequest returns a decoder for requests sent to the admin
-// list_members endpoint.
-func DecodeListMembersRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*admin.ListMembersPayload, error) {
-	return func(r *http.Request) (*admin.ListMembersPayload, error) {
-		var payload *admin.ListMembersPayload
-		var (
-			authorization *string
-		)
-		authorizationRaw := r.Header.Get("Authorization")
-		if authorizationRaw != "" {
-			authorization = &authorizationRaw
-		}
-		payload = NewListMembersPayload(authorization)
-
-		return payload, nil
-	}
-}
-
-// EncodeListMembersError returns an encoder for errors returned by the
-// list_members admin endpoint.
-func EncodeListMembersError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
-	encodeError := goahttp.ErrorEncoder(encoder, formatter)
-	return func(ctx context.Context, w http.ResponseWriter, v error) error {
-		var en goa.GoaErrorNamer
-		if !errors.As(v, &en) {
-			return encodeError(ctx, w, v)
-		}
-		switch en.GoaErrorName() {
-		case "bad_request":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListMembersBadRequestResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusBadRequest)
-			return enc.Encode(body)
-		case "conflict":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListMembersConflictResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusPreconditionFailed)
-			return enc.Encode(body)
-		case "not_found":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListMembersNotFoundResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusNotFound)
-			return enc.Encode(body)
-		case "refused":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListMembersRefusedResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusUnprocessableEntity)
-			return enc.Encode(body)
-		case "unauthorized":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListMembersUnauthorizedResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusUnauthorized)
-			return enc.Encode(body)
-		case "unavailable":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListMembersUnavailableResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return enc.Encode(body)
-		case "unknown":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListMembersUnknownResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusGatewayTimeout)
-			return enc.Encode(body)
-		default:
-			return encodeError(ctx, w, v)
-		}
-	}
-}
-
-// EncodeStartWaveResponse returns an encoder for responses returned by the
-// admin start_wave endpoint.
-func EncodeStartWaveResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
-	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res, _ := v.(*admin.WaveView)
-		enc := encoder(ctx, w)
-		body := NewStartWaveResponseBody(res)
-		w.WriteHeader(http.StatusCreated)
-		return enc.Encode(body)
-	}
-}
-
-// DecodeStartWaveRequest returns a decoder for requests sent to the admin
-// start_wave endpoint.
-func DecodeStartWaveRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*admin.StartWavePayload, error) {
-	return func(r *http.Request) (*admin.StartWavePayload, error) {
-		var payload *admin.StartWavePayload
-		var (
-			body StartWaveRequestBody
-			err  error
-		)
-		err = decoder(r).Decode(&body)
-		if err != nil {
-			if errors.Is(err, io.EOF) {
-				return payload, goa.MissingPayloadError()
-			}
-			var gerr *goa.ServiceError
-			if errors.As(err, &gerr) {
-				return payload, gerr
-			}
-			return payload, goa.DecodePayloadError(err.Error())
-		}
-		err = ValidateStartWaveRequestBody(&body)
-		if err != nil {
-			return payload, err
-		}
-
-		var (
-			authorization *string
-			recordID      *string
-		)
-		authorizationRaw := r.Header.Get("Authorization")
-		if authorizationRaw != "" {
-			authorization = &authorizationRaw
-		}
-		recordIDRaw := r.Header.Get("Idempotency-Key")
-		if recordIDRaw != "" {
-			recordID = &recordIDRaw
-		}
-		payload = NewStartWavePayload(&body, authorization, recordID)
-
-		return payload, nil
-	}
-}
-
-// EncodeStartWaveError returns an encoder for errors returned by the
-// start_wave admin endpoint.
-func EncodeStartWaveError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
-	encodeError := goahttp.ErrorEncoder(encoder, formatter)
-	return func(ctx context.Context, w http.ResponseWriter, v error) error {
-		var en goa.GoaErrorNamer
-		if !errors.As(v, &en) {
-			return encodeError(ctx, w, v)
-		}
-		switch en.GoaErrorName() {
-		case "bad_request":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewStartWaveBadRequestResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusBadRequest)
-			return enc.Encode(body)
-		case "conflict":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewStartWaveConflictResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusPreconditionFailed)
-			return enc.Encode(body)
-		case "not_found":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewStartWaveNotFoundResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusNotFound)
-			return enc.Encode(body)
-		case "refused":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewStartWaveRefusedResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusUnprocessableEntity)
-			return enc.Encode(body)
-		case "unauthorized":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewStartWaveUnauthorizedResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusUnauthorized)
-			return enc.Encode(body)
-		case "unavailable":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewStartWaveUnavailableResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return enc.Encode(body)
-		case "unknown":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewStartWaveUnknownResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusGatewayTimeout)
-			return enc.Encode(body)
-		default:
-			return encodeError(ctx, w, v)
-		}
-	}
-}
-
-// EncodeListWavesResponse returns an encoder for responses returned by the
-// admin list_waves endpoint.
-func EncodeListWavesResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
-	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res, _ := v.([]*admin.WaveView)
-		enc := encoder(ctx, w)
-		body := NewListWavesResponseBody(res)
-		w.WriteHeader(http.StatusOK)
-		return enc.Encode(body)
-	}
-}
-
-// DecodeListWavesRequest returns a decoder for requests sent to the admin
-// list_waves endpoint.
-func DecodeListWavesRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*admin.ListWavesPayload, error) {
-	return func(r *http.Request) (*admin.ListWavesPayload, error) {
-		var payload *admin.ListWavesPayload
-		var (
-			authorization *string
-		)
-		authorizationRaw := r.Header.Get("Authorization")
-		if authorizationRaw != "" {
-			authorization = &authorizationRaw
-		}
-		payload = NewListWavesPayload(authorization)
-
-		return payload, nil
-	}
-}
-
-// EncodeListWavesError returns an encoder for errors returned by the
-// list_waves admin endpoint.
-func EncodeListWavesError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
-	encodeError := goahttp.ErrorEncoder(encoder, formatter)
-	return func(ctx context.Context, w http.ResponseWriter, v error) error {
-		var en goa.GoaErrorNamer
-		if !errors.As(v, &en) {
-			return encodeError(ctx, w, v)
-		}
-		switch en.GoaErrorName() {
-		case "bad_request":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListWavesBadRequestResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusBadRequest)
-			return enc.Encode(body)
-		case "conflict":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListWavesConflictResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusPreconditionFailed)
-			return enc.Encode(body)
-		case "not_found":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListWavesNotFoundResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusNotFound)
-			return enc.Encode(body)
-		case "refused":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListWavesRefusedResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusUnprocessableEntity)
-			return enc.Encode(body)
-		case "unauthorized":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListWavesUnauthorizedResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusUnauthorized)
-			return enc.Encode(body)
-		case "unavailable":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListWavesUnavailableResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return enc.Encode(body)
-		case "unknown":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewListWavesUnknownResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusGatewayTimeout)
-			return enc.Encode(body)
-		default:
-			return encodeError(ctx, w, v)
-		}
-	}
-}
-
-// EncodeChangeWaveResponse returns an encoder for responses returned by the
-// admin change_wave endpoint.
-func EncodeChangeWaveResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
-	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res, _ := v.(*admin.WaveView)
-		enc := encoder(ctx, w)
-		body := NewChangeWaveResponseBody(res)
-		w.WriteHeader(http.StatusOK)
-		return enc.Encode(body)
-	}
-}
-
-// DecodeChangeWaveRequest returns a decoder for requests sent to the admin
-// change_wave endpoint.
-func DecodeChangeWaveRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*admin.ChangeWavePayload, error) {
-	return func(r *http.Request) (*admin.ChangeWavePayload, error) {
-		var payload *admin.ChangeWavePayload
-		var (
-			wave          string
-			change        string
-			reason        *string
-			authorization *string
-			recordID      *string
-			err           error
-
-			params = mux.Vars(r)
-		)
-		wave = params["wave"]
-		change = params["change"]
-		if !(change == "pause" || change == "resume" || change == "abort") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("change", change, []any{"pause", "resume", "abort"}))
-		}
-		reasonRaw := r.URL.Query().Get("reason")
-		if reasonRaw != "" {
-			reason = &reasonRaw
-		}
-		authorizationRaw := r.Header.Get("Authorization")
-		if authorizationRaw != "" {
-			authorization = &authorizationRaw
-		}
-		recordIDRaw := r.Header.Get("Idempotency-Key")
-		if recordIDRaw != "" {
-			recordID = &recordIDRaw
-		}
-		if err != nil {
-			return payload, err
-		}
-		payload = NewChangeWavePayload(wave, change, reason, authorization, recordID)
-
-		return payload, nil
-	}
-}
-
-// EncodeChangeWaveError returns an encoder for errors returned by the
-// change_wave admin endpoint.
-func EncodeChangeWaveError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
-	encodeError := goahttp.ErrorEncoder(encoder, formatter)
-	return func(ctx context.Context, w http.ResponseWriter, v error) error {
-		var en goa.GoaErrorNamer
-		if !errors.As(v, &en) {
-			return encodeError(ctx, w, v)
-		}
-		switch en.GoaErrorName() {
-		case "bad_request":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewChangeWaveBadRequestResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusBadRequest)
-			return enc.Encode(body)
-		case "conflict":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewChangeWaveConflictResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusPreconditionFailed)
-			return enc.Encode(body)
-		case "not_found":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewChangeWaveNotFoundResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusNotFound)
-			return enc.Encode(body)
-		case "refused":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewChangeWaveRefusedResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusUnprocessableEntity)
-			return enc.Encode(body)
-		case "unauthorized":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewChangeWaveUnauthorizedResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusUnauthorized)
-			return enc.Encode(body)
-		case "unavailable":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewChangeWaveUnavailableResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return enc.Encode(body)
-		case "unknown":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewChangeWaveUnknownResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusGatewayTimeout)
-			return enc.Encode(body)
-		default:
-			return encodeError(ctx, w, v)
-		}
-	}
-}
-
-// EncodeReportBurnResponse returns an encoder for responses returned by the
-// admin report_burn endpoint.
-func EncodeReportBurnResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
-	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res, _ := v.(*admin.BurnReport)
-		enc := encoder(ctx, w)
-		body := NewReportBurnResponseBody(res)
-		w.WriteHeader(http.StatusOK)
-		return enc.Encode(body)
-	}
-}
-
-// DecodeReportBurnRequest returns a decoder for requests sent to the admin
-// report_burn endpoint.
-func DecodeReportBurnRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*admin.ReportBurnPayload, error) {
-	return func(r *http.Request) (*admin.ReportBurnPayload, error) {
-		var payload *admin.ReportBurnPayload
-		var (
-			authorization *string
-		)
-		authorizationRaw := r.Header.Get("Authorization")
-		if authorizationRaw != "" {
-			authorization = &authorizationRaw
-		}
-		payload = NewReportBurnPayload(authorization)
-
-		return payload, nil
-	}
-}
-
-// EncodeReportBurnError returns an encoder for errors returned by the
-// report_burn admin endpoint.
-func EncodeReportBurnError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
-	encodeError := goahttp.ErrorEncoder(encoder, formatter)
-	return func(ctx context.Context, w http.ResponseWriter, v error) error {
-		var en goa.GoaErrorNamer
-		if !errors.As(v, &en) {
-			return encodeError(ctx, w, v)
-		}
-		switch en.GoaErrorName() {
-		case "bad_request":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewReportBurnBadRequestResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusBadRequest)
-			return enc.Encode(body)
-		case "conflict":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewReportBurnConflictResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusPreconditionFailed)
-			return enc.Encode(body)
-		case "not_found":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewReportBurnNotFoundResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusNotFound)
-			return enc.Encode(body)
-		case "refused":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewReportBurnRefusedResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusUnprocessableEntity)
-			return enc.Encode(body)
-		case "unauthorized":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewReportBurnUnauthorizedResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusUnauthorized)
-			return enc.Encode(body)
-		case "unavailable":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewReportBurnUnavailableResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return enc.Encode(body)
-		case "unknown":
-			var res *admin.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewReportBurnUnknownResponseBody(res)
-			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusGatewayTimeout)
-			return enc.Encode(body)
-		default:
-			return encodeError(ctx, w, v)
-		}
-	}
-}
-
-// marshalAdminFindingToFindingResponseBody builds a value of type
-// *FindingResponseBody from a value of type *admin.Finding.
-func marshalAdminFindingToFindingResponseBody(v *admin.Finding) *FindingResponseBody {
-	if v == nil {
-		return nil
-	}
-	res := &FindingResponseBody{
-		Place:   v.Place,
-		Message: v.Message,
-	}
-
-	return res
-}
-
-// marshalAdminMemberProgressToMemberProgressResponseBody builds a value of
-// type *MemberProgressResponseBody from a value of type *admin.MemberProgress.
-func marshalAdminMemberProgressToMemberProgressResponseBody(v *admin.MemberProgress) *MemberProgressResponseBody {
-	if v == nil {
-		return nil
-	}
-	res := &MemberProgressResponseBody{
-		Member:  v.Member,
-		InForce: v.InForce,
-		AfterMs: v.AfterMs,
-	}
-
-	return res
-}
-
-// marshalAdminChangeToChangeResponse builds a value of type *ChangeResponse
-// from a value of type *admin.Change.
-func marshalAdminChangeToChangeResponse(v *admin.Change) *ChangeResponse {
-	res := &ChangeResponse{
-		Version: v.Version,
-		Offset:  v.Offset,
-		Record:  v.Record,
-		Author:  v.Author,
-	}
-
-	return res
-}
-
-// marshalAdminVerdictToVerdictResponseBody builds a value of type
-// *VerdictResponseBody from a value of type *admin.Verdict.
-func marshalAdminVerdictToVerdictResponseBody(v *admin.Verdict) *VerdictResponseBody {
-	res := &VerdictResponseBody{
-		ID:      v.ID,
-		Outcome: v.Outcome,
-		Version: v.Version,
-		Offset:  v.Offset,
-	}
-	if v.Findings != nil {
-		res.Findings = make([]*FindingResponseBody, len(v.Findings))
-		for i, val := range v.Findings {
-			if val == nil {
-				res.Findings[i] = nil
-				continue
-			}
-			res.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	if v.Members != nil {
-		res.Members = make([]*MemberProgressResponseBody, len(v.Members))
-		for i, val := range v.Members {
-			if val == nil {
-				res.Members[i] = nil
-				continue
-			}
-			res.Members[i] = marshalAdminMemberProgressToMemberProgressResponseBody(val)
-		}
-	}
-
-	return res
-}
-
-// marshalAdminKeyViewToKeyViewResponse builds a value of type *KeyViewResponse
-// from a value of type *admin.KeyView.
-func marshalAdminKeyViewToKeyViewResponse(v *admin.KeyView) *KeyViewResponse {
-	res := &KeyViewResponse{
-		KeyID:  v.KeyID,
-		Team:   v.Team,
-		Issued: v.Issued,
-	}
-
-	return res
-}
-
-// marshalAdminInstanceViewToInstanceViewResponse builds a value of type
-// *InstanceViewResponse from a value of type *admin.InstanceView.
-func marshalAdminInstanceViewToInstanceViewResponse(v *admin.InstanceView) *InstanceViewResponse {
-	res := &InstanceViewResponse{
-		ID:           v.ID,
-		Pool:         v.Pool,
-		Zone:         v.Zone,
-		Rack:         v.Rack,
-		Phase:        v.Phase,
-		Healthy:      v.Healthy,
-		Wave:         v.Wave,
-		MaintainedIn: v.MaintainedIn,
-	}
-
-	return res
-}
-
-// marshalAdminMemberViewToMemberViewResponse builds a value of type
-// *MemberViewResponse from a value of type *admin.MemberView.
-func marshalAdminMemberViewToMemberViewResponse(v *admin.MemberView) *MemberViewResponse {
-	res := &MemberViewResponse{
-		Name:        v.Name,
-		Incarnation: v.Incarnation,
-		Address:     v.Address,
-		Zone:        v.Zone,
-	}
-
-	return res
-}
-
-// marshalAdminWaveViewToWaveViewResponse builds a value of type
-// *WaveViewResponse from a value of type *admin.WaveView.
-func marshalAdminWaveViewToWaveViewResponse(v *admin.WaveView) *WaveViewResponse {
-	res := &WaveViewResponse{
-		Wave:        v.Wave,
-		Action:      v.Action,
-		To:          v.To,
-		Status:      v.Status,
-		Reason:      v.Reason,
-		Total:       v.Total,
-		Done:        v.Done,
-		Out:         v.Out,
-		ExpectedEnd: v.ExpectedEnd,
-	}
-	if v.Pools != nil {
-		res.Pools = make([]string, len(v.Pools))
-		for i, val := range v.Pools {
-			res.Pools[i] = val
-		}
-	} else {
-		res.Pools = []string{}
-	}
-	if v.Order != nil {
-		res.Order = make([]string, len(v.Order))
-		for i, val := range v.Order {
-			res.Order[i] = val
-		}
+// marshalAdminWaveViewToWaveViewResponseBody builds a value of type
+// *WaveViewResponseBody from a value of type *admin.WaveView.
+func marshalAdminWaveViewToWaveViewResponseBody(v *admin.WaveView) *WaveViewResponseBody {
+	res := &WaveViewResponseBody{
+		Number: v.Number,
+		Status: v.Status,
+		Total:  v.Total,
+		Begun:  v.Begun,
 	}
 
 	return res
@@ -2175,13 +997,13 @@
 // *BurnObjectiveResponseBody from a value of type *admin.BurnObjective.
 func marshalAdminBurnObjectiveToBurnObjectiveResponseBody(v *admin.BurnObjective) *BurnObjectiveResponseBody {
 	res := &BurnObjectiveResponseBody{
-		Name:        v.Name,
-		Pool:        v.Pool,
-		Team:        v.Team,
-		Target:      v.Target,
-		LatencyMs:   v.LatencyMs,
-		WindowHours: v.WindowHours,
-		BudgetLeft:  v.BudgetLeft,
+		Name:         v.Name,
+		Queue:        v.Queue,
+		Organisation: v.Organisation,
+		Target:       v.Target,
+		LatencyMs:    v.LatencyMs,
+		WindowHours:  v.WindowHours,
+		BudgetLeft:   v.BudgetLeft,
 	}
 	if v.Windows != nil {
 		res.Windows = make([]*BurnWindowResponseBody, len(v.Windows))
--- a/gen/http/admin/server/paths.go
+++ b/gen/http/admin/server/paths.go
@@ -7,10 +7,6 @@
 
 package server
 
-import (
-	"fmt"
-)
-
 // GetConfigAdminPath returns the URL path to the admin service get_config HTTP endpoint.
 func GetConfigAdminPath() string {
 	return "/v1/admin/config"
@@ -21,39 +17,9 @@
 	return "/v1/admin/config"
 }
 
-// ConfigHistoryAdminPath returns the URL path to the admin service config_history HTTP endpoint.
-func ConfigHistoryAdminPath() string {
-	return "/v1/admin/config/history"
-}
-
-// VerdictEndpointAdminPath returns the URL path to the admin service verdict HTTP endpoint.
-func VerdictEndpointAdminPath(id string) string {
-	return fmt.Sprintf("/v1/admin/verdicts/%v", id)
-}
-
-// IssueKeyAdminPath returns the URL path to the admin service issue_key HTTP endpoint.
-func IssueKeyAdminPath() string {
-	return "/v1/admin/keys"
-}
-
-// WithdrawKeyAdminPath returns the URL path to the admin service withdraw_key HTTP endpoint.
-func WithdrawKeyAdminPath(keyID string) string {
-	return fmt.Sprintf("/v1/admin/keys/%v", keyID)
-}
-
-// ListKeysAdminPath returns the URL path to the admin service list_keys HTTP endpoint.
-func ListKeysAdminPath() string {
-	return "/v1/admin/keys"
-}
-
-// ListInstancesAdminPath returns the URL path to the admin service list_instances HTTP endpoint.
-func ListInstancesAdminPath() string {
-	return "/v1/admin/instances"
-}
-
-// ListMembersAdminPath returns the URL path to the admin service list_members HTTP endpoint.
-func ListMembersAdminPath() string {
-	return "/v1/admin/members"
+// ShowFleetAdminPath returns the URL path to the admin service show_fleet HTTP endpoint.
+func ShowFleetAdminPath() string {
+	return "/v1/admin/fleet"
 }
 
 // StartWaveAdminPath returns the URL path to the admin service start_wave HTTP endpoint.
@@ -61,16 +27,6 @@
 	return "/v1/admin/waves"
 }
 
-// ListWavesAdminPath returns the URL path to the admin service list_waves HTTP endpoint.
-func ListWavesAdminPath() string {
-	return "/v1/admin/waves"
-}
-
-// ChangeWaveAdminPath returns the URL path to the admin service change_wave HTTP endpoint.
-func ChangeWaveAdminPath(wave string, change string) string {
-	return fmt.Sprintf("/v1/admin/waves/%v/%v", wave, change)
-}
-
 // ReportBurnAdminPath returns the URL path to the admin service report_burn HTTP endpoint.
 func ReportBurnAdminPath() string {
 	return "/v1/admin/burn"
--- a/gen/http/admin/server/server.go
+++ b/gen/http/admin/server/server.go
@@ -18,20 +18,12 @@
 
 // Server lists the admin service endpoint HTTP handlers.
 type Server struct {
-	Mounts          []*MountPoint
-	GetConfig       http.Handler
-	PatchConfig     http.Handler
-	ConfigHistory   http.Handler
-	VerdictEndpoint http.Handler
-	IssueKey        http.Handler
-	WithdrawKey     http.Handler
-	ListKeys        http.Handler
-	ListInstances   http.Handler
-	ListMembers     http.Handler
-	StartWave       http.Handler
-	ListWaves       http.Handler
-	ChangeWave      http.Handler
-	ReportBurn      http.Handler
+	Mounts      []*MountPoint
+	GetConfig   http.Handler
+	PatchConfig http.Handler
+	ShowFleet   http.Handler
+	StartWave   http.Handler
+	ReportBurn  http.Handler
 }
 
 // MountPoint holds information about the mounted endpoints.
@@ -63,31 +55,15 @@
 		Mounts: []*MountPoint{
 			{"GetConfig", "GET", "/v1/admin/config"},
 			{"PatchConfig", "PATCH", "/v1/admin/config"},
-			{"ConfigHistory", "GET", "/v1/admin/config/history"},
-			{"VerdictEndpoint", "GET", "/v1/admin/verdicts/{id}"},
-			{"IssueKey", "POST", "/v1/admin/keys"},
-			{"WithdrawKey", "DELETE", "/v1/admin/keys/{key_id}"},
-			{"ListKeys", "GET", "/v1/admin/keys"},
-			{"ListInstances", "GET", "/v1/admin/instances"},
-			{"ListMembers", "GET", "/v1/admin/members"},
+			{"ShowFleet", "GET", "/v1/admin/fleet"},
 			{"StartWave", "POST", "/v1/admin/waves"},
-			{"ListWaves", "GET", "/v1/admin/waves"},
-			{"ChangeWave", "POST", "/v1/admin/waves/{wave}/{change}"},
 			{"ReportBurn", "GET", "/v1/admin/burn"},
 		},
-		GetConfig:       NewGetConfigHandler(e.GetConfig, mux, decoder, encoder, errhandler, formatter),
-		PatchConfig:     NewPatchConfigHandler(e.PatchConfig, mux, decoder, encoder, errhandler, formatter),
-		ConfigHistory:   NewConfigHistoryHandler(e.ConfigHistory, mux, decoder, encoder, errhandler, formatter),
-		VerdictEndpoint: NewVerdictEndpointHandler(e.VerdictEndpoint, mux, decoder, encoder, errhandler, formatter),
-		IssueKey:        NewIssueKeyHandler(e.IssueKey, mux, decoder, encoder, errhandler, formatter),
-		WithdrawKey:     NewWithdrawKeyHandler(e.WithdrawKey, mux, decoder, encoder, errhandler, formatter),
-		ListKeys:        NewListKeysHandler(e.ListKeys, mux, decoder, encoder, errhandler, formatter),
-		ListInstances:   NewListInstancesHandler(e.ListInstances, mux, decoder, encoder, errhandler, formatter),
-		ListMembers:     NewListMembersHandler(e.ListMembers, mux, decoder, encoder, errhandler, formatter),
-		StartWave:       NewStartWaveHandler(e.StartWave, mux, decoder, encoder, errhandler, formatter),
-		ListWaves:       NewListWavesHandler(e.ListWaves, mux, decoder, encoder, errhandler, formatter),
-		ChangeWave:      NewChangeWaveHandler(e.ChangeWave, mux, decoder, encoder, errhandler, formatter),
-		ReportBurn:      NewReportBurnHandler(e.ReportBurn, mux, decoder, encoder, errhandler, formatter),
+		GetConfig:   NewGetConfigHandler(e.GetConfig, mux, decoder, encoder, errhandler, formatter),
+		PatchConfig: NewPatchConfigHandler(e.PatchConfig, mux, decoder, encoder, errhandler, formatter),
+		ShowFleet:   NewShowFleetHandler(e.ShowFleet, mux, decoder, encoder, errhandler, formatter),
+		StartWave:   NewStartWaveHandler(e.StartWave, mux, decoder, encoder, errhandler, formatter),
+		ReportBurn:  NewReportBurnHandler(e.ReportBurn, mux, decoder, encoder, errhandler, formatter),
 	}
 }
 
@@ -98,16 +74,8 @@
 func (s *Server) Use(m func(http.Handler) http.Handler) {
 	s.GetConfig = m(s.GetConfig)
 	s.PatchConfig = m(s.PatchConfig)
-	s.ConfigHistory = m(s.ConfigHistory)
-	s.VerdictEndpoint = m(s.VerdictEndpoint)
-	s.IssueKey = m(s.IssueKey)
-	s.WithdrawKey = m(s.WithdrawKey)
-	s.ListKeys = m(s.ListKeys)
-	s.ListInstances = m(s.ListInstances)
-	s.ListMembers = m(s.ListMembers)
+	s.ShowFleet = m(s.ShowFleet)
 	s.StartWave = m(s.StartWave)
-	s.ListWaves = m(s.ListWaves)
-	s.ChangeWave = m(s.ChangeWave)
 	s.ReportBurn = m(s.ReportBurn)
 }
 
@@ -118,16 +86,8 @@
 func Mount(mux goahttp.Muxer, h *Server) {
 	MountGetConfigHandler(mux, h.GetConfig)
 	MountPatchConfigHandler(mux, h.PatchConfig)
-	MountConfigHistoryHandler(mux, h.ConfigHistory)
-	MountVerdictEndpointHandler(mux, h.VerdictEndpoint)
-	MountIssueKeyHandler(mux, h.IssueKey)
-	MountWithdrawKeyHandler(mux, h.WithdrawKey)
-	MountListKeysHandler(mux, h.ListKeys)
-	MountListInstancesHandler(mux, h.ListInstances)
-	MountListMembersHandler(mux, h.ListMembers)
+	MountShowFleetHandler(mux, h.ShowFleet)
 	MountStartWaveHandler(mux, h.StartWave)
-	MountListWavesHandler(mux, h.ListWaves)
-	MountChangeWaveHandler(mux, h.ChangeWave)
 	MountReportBurnHandler(mux, h.ReportBurn)
 }
 
@@ -243,21 +203,21 @@
 	})
 }
 
-// MountConfigHistoryHandler configures the mux to serve the "admin" service
-// "config_history" endpoint.
-func MountConfigHistoryHandler(mux goahttp.Muxer, h http.Handler) {
+// MountShowFleetHandler configures the mux to serve the "admin" service
+// "show_fleet" endpoint.
+func MountShowFleetHandler(mux goahttp.Muxer, h http.Handler) {
 	f, ok := h.(http.HandlerFunc)
 	if !ok {
 		f = func(w http.ResponseWriter, r *http.Request) {
 			h.ServeHTTP(w, r)
 		}
 	}
-	mux.Handle("GET", "/v1/admin/config/history", f)
+	mux.Handle("GET", "/v1/admin/fleet", f)
 }
 
-// NewConfigHistoryHandler creates a HTTP handler which loads the HTTP request
-// and calls the "admin" service "config_history" endpoint.
-func NewConfigHistoryHandler(
+// NewShowFleetHandler creates a HTTP handler which loads the HTTP request and
+// calls the "admin" service "show_fleet" endpoint.
+func NewShowFleetHandler(
 	endpoint goa.Endpoint,
 	mux goahttp.Muxer,
 	decoder func(*http.Request) goahttp.Decoder,
@@ -266,331 +226,13 @@
 	formatter func(ctx context.Context, err error) goahttp.Statuser,
 ) http.Handler {
 	var (
-		decodeRequest  = DecodeConfigHistoryRequest(mux, decoder)
-		encodeResponse = EncodeConfigHistoryResponse(encoder)
-		encodeError    = EncodeConfigHistoryError(encoder, formatter)
+		decodeRequest  = DecodeShowFleetRequest(mux, decoder)
+		encodeResponse = EncodeShowFleetResponse(encoder)
+		encodeError    = EncodeShowFleetError(encoder, formatter)
 	)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
-		ctx = context.WithValue(ctx, goa.MethodKey, "config_history")
-		ctx = context.WithValue(ctx, goa.ServiceKey, "admin")
-		payload, err := decodeRequest(r)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		res, err := endpoint(ctx, payload)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		if err := encodeResponse(ctx, w, res); err != nil {
-			if errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-		}
-	})
-}
-
-// MountVerdictEndpointHandler configures the mux to serve the "admin" service
-// "verdict" endpoint.
-func MountVerdictEndpointHandler(mux goahttp.Muxer, h http.Handler) {
-	f, ok := h.(http.HandlerFunc)
-	if !ok {
-		f = func(w http.ResponseWriter, r *http.Request) {
-			h.ServeHTTP(w, r)
-		}
-	}
-	mux.Handle("GET", "/v1/admin/verdicts/{id}", f)
-}
-
-// NewVerdictEndpointHandler creates a HTTP handler which loads the HTTP
-// request and calls the "admin" service "verdict" endpoint.
-func NewVerdictEndpointHandler(
-	endpoint goa.Endpoint,
-	mux goahttp.Muxer,
-	decoder func(*http.Request) goahttp.Decoder,
-	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
-	errhandler func(context.Context, http.ResponseWriter, error),
-	formatter func(ctx context.Context, err error) goahttp.Statuser,
-) http.Handler {
-	var (
-		decodeRequest  = DecodeVerdictEndpointRequest(mux, decoder)
-		encodeResponse = EncodeVerdictEndpointResponse(encoder)
-		encodeError    = EncodeVerdictEndpointError(encoder, formatter)
-	)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
-		ctx = context.WithValue(ctx, goa.MethodKey, "verdict")
-		ctx = context.WithValue(ctx, goa.ServiceKey, "admin")
-		payload, err := decodeRequest(r)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		res, err := endpoint(ctx, payload)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		if err := encodeResponse(ctx, w, res); err != nil {
-			if errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-		}
-	})
-}
-
-// MountIssueKeyHandler configures the mux to serve the "admin" service
-// "issue_key" endpoint.
-func MountIssueKeyHandler(mux goahttp.Muxer, h http.Handler) {
-	f, ok := h.(http.HandlerFunc)
-	if !ok {
-		f = func(w http.ResponseWriter, r *http.Request) {
-			h.ServeHTTP(w, r)
-		}
-	}
-	mux.Handle("POST", "/v1/admin/keys", f)
-}
-
-// NewIssueKeyHandler creates a HTTP handler which loads the HTTP request and
-// calls the "admin" service "issue_key" endpoint.
-func NewIssueKeyHandler(
-	endpoint goa.Endpoint,
-	mux goahttp.Muxer,
-	decoder func(*http.Request) goahttp.Decoder,
-	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
-	errhandler func(context.Context, http.ResponseWriter, error),
-	formatter func(ctx context.Context, err error) goahttp.Statuser,
-) http.Handler {
-	var (
-		decodeRequest  = DecodeIssueKeyRequest(mux, decoder)
-		encodeResponse = EncodeIssueKeyResponse(encoder)
-		encodeError    = EncodeIssueKeyError(encoder, formatter)
-	)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
-		ctx = context.WithValue(ctx, goa.MethodKey, "issue_key")
-		ctx = context.WithValue(ctx, goa.ServiceKey, "admin")
-		payload, err := decodeRequest(r)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		res, err := endpoint(ctx, payload)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		if err := encodeResponse(ctx, w, res); err != nil {
-			if errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-		}
-	})
-}
-
-// MountWithdrawKeyHandler configures the mux to serve the "admin" service
-// "withdraw_key" endpoint.
-func MountWithdrawKeyHandler(mux goahttp.Muxer, h http.Handler) {
-	f, ok := h.(http.HandlerFunc)
-	if !ok {
-		f = func(w http.ResponseWriter, r *http.Request) {
-			h.ServeHTTP(w, r)
-		}
-	}
-	mux.Handle("DELETE", "/v1/admin/keys/{key_id}", f)
-}
-
-// NewWithdrawKeyHandler creates a HTTP handler which loads the HTTP request
-// and calls the "admin" service "withdraw_key" endpoint.
-func NewWithdrawKeyHandler(
-	endpoint goa.Endpoint,
-	mux goahttp.Muxer,
-	decoder func(*http.Request) goahttp.Decoder,
-	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
-	errhandler func(context.Context, http.ResponseWriter, error),
-	formatter func(ctx context.Context, err error) goahttp.Statuser,
-) http.Handler {
-	var (
-		decodeRequest  = DecodeWithdrawKeyRequest(mux, decoder)
-		encodeResponse = EncodeWithdrawKeyResponse(encoder)
-		encodeError    = EncodeWithdrawKeyError(encoder, formatter)
-	)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
-		ctx = context.WithValue(ctx, goa.MethodKey, "withdraw_key")
-		ctx = context.WithValue(ctx, goa.ServiceKey, "admin")
-		payload, err := decodeRequest(r)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		res, err := endpoint(ctx, payload)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		if err := encodeResponse(ctx, w, res); err != nil {
-			if errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-		}
-	})
-}
-
-// MountListKeysHandler configures the mux to serve the "admin" service
-// "list_keys" endpoint.
-func MountListKeysHandler(mux goahttp.Muxer, h http.Handler) {
-	f, ok := h.(http.HandlerFunc)
-	if !ok {
-		f = func(w http.ResponseWriter, r *http.Request) {
-			h.ServeHTTP(w, r)
-		}
-	}
-	mux.Handle("GET", "/v1/admin/keys", f)
-}
-
-// NewListKeysHandler creates a HTTP handler which loads the HTTP request and
-// calls the "admin" service "list_keys" endpoint.
-func NewListKeysHandler(
-	endpoint goa.Endpoint,
-	mux goahttp.Muxer,
-	decoder func(*http.Request) goahttp.Decoder,
-	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
-	errhandler func(context.Context, http.ResponseWriter, error),
-	formatter func(ctx context.Context, err error) goahttp.Statuser,
-) http.Handler {
-	var (
-		decodeRequest  = DecodeListKeysRequest(mux, decoder)
-		encodeResponse = EncodeListKeysResponse(encoder)
-		encodeError    = EncodeListKeysError(encoder, formatter)
-	)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
-		ctx = context.WithValue(ctx, goa.MethodKey, "list_keys")
-		ctx = context.WithValue(ctx, goa.ServiceKey, "admin")
-		payload, err := decodeRequest(r)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		res, err := endpoint(ctx, payload)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		if err := encodeResponse(ctx, w, res); err != nil {
-			if errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-		}
-	})
-}
-
-// MountListInstancesHandler configures the mux to serve the "admin" service
-// "list_instances" endpoint.
-func MountListInstancesHandler(mux goahttp.Muxer, h http.Handler) {
-	f, ok := h.(http.HandlerFunc)
-	if !ok {
-		f = func(w http.ResponseWriter, r *http.Request) {
-			h.ServeHTTP(w, r)
-		}
-	}
-	mux.Handle("GET", "/v1/admin/instances", f)
-}
-
-// NewListInstancesHandler creates a HTTP handler which loads the HTTP request
-// and calls the "admin" service "list_instances" endpoint.
-func NewListInstancesHandler(
-	endpoint goa.Endpoint,
-	mux goahttp.Muxer,
-	decoder func(*http.Request) goahttp.Decoder,
-	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
-	errhandler func(context.Context, http.ResponseWriter, error),
-	formatter func(ctx context.Context, err error) goahttp.Statuser,
-) http.Handler {
-	var (
-		decodeRequest  = DecodeListInstancesRequest(mux, decoder)
-		encodeResponse = EncodeListInstancesResponse(encoder)
-		encodeError    = EncodeListInstancesError(encoder, formatter)
-	)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
-		ctx = context.WithValue(ctx, goa.MethodKey, "list_instances")
-		ctx = context.WithValue(ctx, goa.ServiceKey, "admin")
-		payload, err := decodeRequest(r)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		res, err := endpoint(ctx, payload)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		if err := encodeResponse(ctx, w, res); err != nil {
-			if errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-		}
-	})
-}
-
-// MountListMembersHandler configures the mux to serve the "admin" service
-// "list_members" endpoint.
-func MountListMembersHandler(mux goahttp.Muxer, h http.Handler) {
-	f, ok := h.(http.HandlerFunc)
-	if !ok {
-		f = func(w http.ResponseWriter, r *http.Request) {
-			h.ServeHTTP(w, r)
-		}
-	}
-	mux.Handle("GET", "/v1/admin/members", f)
-}
-
-// NewListMembersHandler creates a HTTP handler which loads the HTTP request
-// and calls the "admin" service "list_members" endpoint.
-func NewListMembersHandler(
-	endpoint goa.Endpoint,
-	mux goahttp.Muxer,
-	decoder func(*http.Request) goahttp.Decoder,
-	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
-	errhandler func(context.Context, http.ResponseWriter, error),
-	formatter func(ctx context.Context, err error) goahttp.Statuser,
-) http.Handler {
-	var (
-		decodeRequest  = DecodeListMembersRequest(mux, decoder)
-		encodeResponse = EncodeListMembersResponse(encoder)
-		encodeError    = EncodeListMembersError(encoder, formatter)
-	)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
-		ctx = context.WithValue(ctx, goa.MethodKey, "list_members")
+		ctx = context.WithValue(ctx, goa.MethodKey, "show_fleet")
 		ctx = context.WithValue(ctx, goa.ServiceKey, "admin")
 		payload, err := decodeRequest(r)
 		if err != nil {
@@ -667,112 +309,6 @@
 	})
 }
 
-// MountListWavesHandler configures the mux to serve the "admin" service
-// "list_waves" endpoint.
-func MountListWavesHandler(mux goahttp.Muxer, h http.Handler) {
-	f, ok := h.(http.HandlerFunc)
-	if !ok {
-		f = func(w http.ResponseWriter, r *http.Request) {
-			h.ServeHTTP(w, r)
-		}
-	}
-	mux.Handle("GET", "/v1/admin/waves", f)
-}
-
-// NewListWavesHandler creates a HTTP handler which loads the HTTP request and
-// calls the "admin" service "list_waves" endpoint.
-func NewListWavesHandler(
-	endpoint goa.Endpoint,
-	mux goahttp.Muxer,
-	decoder func(*http.Request) goahttp.Decoder,
-	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
-	errhandler func(context.Context, http.ResponseWriter, error),
-	formatter func(ctx context.Context, err error) goahttp.Statuser,
-) http.Handler {
-	var (
-		decodeRequest  = DecodeListWavesRequest(mux, decoder)
-		encodeResponse = EncodeListWavesResponse(encoder)
-		encodeError    = EncodeListWavesError(encoder, formatter)
-	)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
-		ctx = context.WithValue(ctx, goa.MethodKey, "list_waves")
-		ctx = context.WithValue(ctx, goa.ServiceKey, "admin")
-		payload, err := decodeRequest(r)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		res, err := endpoint(ctx, payload)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		if err := encodeResponse(ctx, w, res); err != nil {
-			if errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-		}
-	})
-}
-
-// MountChangeWaveHandler configures the mux to serve the "admin" service
-// "change_wave" endpoint.
-func MountChangeWaveHandler(mux goahttp.Muxer, h http.Handler) {
-	f, ok := h.(http.HandlerFunc)
-	if !ok {
-		f = func(w http.ResponseWriter, r *http.Request) {
-			h.ServeHTTP(w, r)
-		}
-	}
-	mux.Handle("POST", "/v1/admin/waves/{wave}/{change}", f)
-}
-
-// NewChangeWaveHandler creates a HTTP handler which loads the HTTP request and
-// calls the "admin" service "change_wave" endpoint.
-func NewChangeWaveHandler(
-	endpoint goa.Endpoint,
-	mux goahttp.Muxer,
-	decoder func(*http.Request) goahttp.Decoder,
-	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
-	errhandler func(context.Context, http.ResponseWriter, error),
-	formatter func(ctx context.Context, err error) goahttp.Statuser,
-) http.Handler {
-	var (
-		decodeRequest  = DecodeChangeWaveRequest(mux, decoder)
-		encodeResponse = EncodeChangeWaveResponse(encoder)
-		encodeError    = EncodeChangeWaveError(encoder, formatter)
-	)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
-		ctx = context.WithValue(ctx, goa.MethodKey, "change_wave")
-		ctx = context.WithValue(ctx, goa.ServiceKey, "admin")
-		payload, err := decodeRequest(r)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		res, err := endpoint(ctx, payload)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		if err := encodeResponse(ctx, w, res); err != nil {
-			if errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-		}
-	})
-}
-
 // MountReportBurnHandler configures the mux to serve the "admin" service
 // "report_burn" endpoint.
 func MountReportBurnHandler(mux goahttp.Muxer, h http.Handler) {
--- a/gen/http/admin/server/types.go
+++ b/gen/http/admin/server/types.go
@@ -12,29 +12,23 @@
 	goa "goa.design/goa/v3/pkg"
 )
 
-// IssueKeyRequestBody is the type of the "admin" service "issue_key" endpoint
-// HTTP request body.
-type IssueKeyRequestBody struct {
-	Team *string `form:"team,omitempty" json:"team,omitempty" xml:"team,omitempty"`
-}
-
 // StartWaveRequestBody is the type of the "admin" service "start_wave"
 // endpoint HTTP request body.
 type StartWaveRequestBody struct {
-	Wave        *string  `form:"wave,omitempty" json:"wave,omitempty" xml:"wave,omitempty"`
-	Action      *string  `form:"action,omitempty" json:"action,omitempty" xml:"action,omitempty"`
-	Pools       []string `form:"pools,omitempty" json:"pools,omitempty" xml:"pools,omitempty"`
-	Instances   []string `form:"instances,omitempty" json:"instances,omitempty" xml:"instances,omitempty"`
-	To          *string  `form:"to,omitempty" json:"to,omitempty" xml:"to,omitempty"`
-	MaxParallel *int     `form:"max_parallel,omitempty" json:"max_parallel,omitempty" xml:"max_parallel,omitempty"`
-	DryRun      *bool    `form:"dry_run,omitempty" json:"dry_run,omitempty" xml:"dry_run,omitempty"`
+	// Number that no other wave has
+	Number    *int64   `form:"number,omitempty" json:"number,omitempty" xml:"number,omitempty"`
+	Instances []string `form:"instances,omitempty" json:"instances,omitempty" xml:"instances,omitempty"`
+	// Instances that may be down for the wave at a time
+	AtOnce *int `form:"at_once,omitempty" json:"at_once,omitempty" xml:"at_once,omitempty"`
+	// Time in seconds in which the wave is to be over
+	DeadlineS *float64 `form:"deadline_s,omitempty" json:"deadline_s,omitempty" xml:"deadline_s,omitempty"`
 }
 
 // GetConfigResponseBody is the type of the "admin" service "get_config"
 // endpoint HTTP response body.
 type GetConfigResponseBody struct {
 	// Configuration version
-	Version uint64 `form:"version" json:"version" xml:"version"`
+	Version int64 `form:"version" json:"version" xml:"version"`
 	// Configuration document
 	Document any `form:"document" json:"document" xml:"document"`
 }
@@ -42,123 +36,32 @@
 // PatchConfigResponseBody is the type of the "admin" service "patch_config"
 // endpoint HTTP response body.
 type PatchConfigResponseBody struct {
-	// Record ID; asking again with it gives the same verdict
-	ID string `form:"id" json:"id" xml:"id"`
-	// Decision
-	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
-	// Configuration version after the record
-	Version uint64 `form:"version" json:"version" xml:"version"`
-	// Log offset of the record
-	Offset uint64 `form:"offset" json:"offset" xml:"offset"`
-	// Reasons of a refusal
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-	// When each entry instance had it in force, if asked to wait
-	Members []*MemberProgressResponseBody `form:"members,omitempty" json:"members,omitempty" xml:"members,omitempty"`
-}
-
-// ConfigHistoryResponseBody is the type of the "admin" service
-// "config_history" endpoint HTTP response body.
-type ConfigHistoryResponseBody []*ChangeResponse
-
-// VerdictResponseBody is the type of the "admin" service "verdict" endpoint
-// HTTP response body.
-type VerdictResponseBody struct {
-	// Record ID; asking again with it gives the same verdict
-	ID string `form:"id" json:"id" xml:"id"`
-	// Decision
-	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
-	// Configuration version after the record
-	Version uint64 `form:"version" json:"version" xml:"version"`
-	// Log offset of the record
-	Offset uint64 `form:"offset" json:"offset" xml:"offset"`
-	// Reasons of a refusal
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-	// When each entry instance had it in force, if asked to wait
-	Members []*MemberProgressResponseBody `form:"members,omitempty" json:"members,omitempty" xml:"members,omitempty"`
-}
-
-// IssueKeyResponseBody is the type of the "admin" service "issue_key" endpoint
-// HTTP response body.
-type IssueKeyResponseBody struct {
-	KeyID string `form:"key_id" json:"key_id" xml:"key_id"`
-	// The secret that the team presents
-	Key     string               `form:"key" json:"key" xml:"key"`
-	Verdict *VerdictResponseBody `form:"verdict" json:"verdict" xml:"verdict"`
+	// Configuration version
+	Version int64 `form:"version" json:"version" xml:"version"`
+	// Configuration document
+	Document any `form:"document" json:"document" xml:"document"`
 }
 
-// WithdrawKeyResponseBody is the type of the "admin" service "withdraw_key"
+// ShowFleetResponseBody is the type of the "admin" service "show_fleet"
 // endpoint HTTP response body.
-type WithdrawKeyResponseBody struct {
-	// Record ID; asking again with it gives the same verdict
-	ID string `form:"id" json:"id" xml:"id"`
-	// Decision
-	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
-	// Configuration version after the record
-	Version uint64 `form:"version" json:"version" xml:"version"`
-	// Log offset of the record
-	Offset uint64 `form:"offset" json:"offset" xml:"offset"`
-	// Reasons of a refusal
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-	// When each entry instance had it in force, if asked to wait
-	Members []*MemberProgressResponseBody `form:"members,omitempty" json:"members,omitempty" xml:"members,omitempty"`
+type ShowFleetResponseBody struct {
+	// Entry instance that decides
+	Owner string `form:"owner" json:"owner" xml:"owner"`
+	// Number that rises with every change of the owner
+	Term    int64                     `form:"term" json:"term" xml:"term"`
+	Workers []*WorkerViewResponseBody `form:"workers" json:"workers" xml:"workers"`
+	Waves   []*WaveViewResponseBody   `form:"waves" json:"waves" xml:"waves"`
 }
 
-// ListKeysResponseBody is the type of the "admin" service "list_keys" endpoint
-// HTTP response body.
-type ListKeysResponseBody []*KeyViewResponse
-
-// ListInstancesResponseBody is the type of the "admin" service
-// "list_instances" endpoint HTTP response body.
-type ListInstancesResponseBody []*InstanceViewResponse
-
-// ListMembersResponseBody is the type of the "admin" service "list_members"
-// endpoint HTTP response body.
-type ListMembersResponseBody []*MemberViewResponse
-
 // StartWaveResponseBody is the type of the "admin" service "start_wave"
 // endpoint HTTP response body.
 type StartWaveResponseBody struct {
-	Wave   string   `form:"wave" json:"wave" xml:"wave"`
-	Action string   `form:"action" json:"action" xml:"action"`
-	Pools  []string `form:"pools" json:"pools" xml:"pools"`
-	To     *string  `form:"to,omitempty" json:"to,omitempty" xml:"to,omitempty"`
-	Status string   `form:"status" json:"status" xml:"status"`
-	Reason *string  `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Instances of the wave
-	Total int `form:"total" json:"total" xml:"total"`
-	// Instances that are back in service
-	Done int `form:"done" json:"done" xml:"done"`
-	// Instances that are out of service for the wave
-	Out int `form:"out" json:"out" xml:"out"`
-	// Instances that are still to be taken out, in planned order, for a dry run
-	Order []string `form:"order,omitempty" json:"order,omitempty" xml:"order,omitempty"`
-	// Expected end (RFC 3339) from the pace so far, once an instance has returned
-	ExpectedEnd *string `form:"expected_end,omitempty" json:"expected_end,omitempty" xml:"expected_end,omitempty"`
-}
-
-// ListWavesResponseBody is the type of the "admin" service "list_waves"
-// endpoint HTTP response body.
-type ListWavesResponseBody []*WaveViewResponse
-
-// ChangeWaveResponseBody is the type of the "admin" service "change_wave"
-// endpoint HTTP response body.
-type ChangeWaveResponseBody struct {
-	Wave   string   `form:"wave" json:"wave" xml:"wave"`
-	Action string   `form:"action" json:"action" xml:"action"`
-	Pools  []string `form:"pools" json:"pools" xml:"pools"`
-	To     *string  `form:"to,omitempty" json:"to,omitempty" xml:"to,omitempty"`
-	Status string   `form:"status" json:"status" xml:"status"`
-	Reason *string  `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Instances of the wave
+	Number int64  `form:"number" json:"number" xml:"number"`
+	Status string `form:"status" json:"status" xml:"status"`
+	// Instances that the wave asks for
 	Total int `form:"total" json:"total" xml:"total"`
-	// Instances that are back in service
-	Done int `form:"done" json:"done" xml:"done"`
-	// Instances that are out of service for the wave
-	Out int `form:"out" json:"out" xml:"out"`
-	// Instances that are still to be taken out, in planned order, for a dry run
-	Order []string `form:"order,omitempty" json:"order,omitempty" xml:"order,omitempty"`
-	// Expected end (RFC 3339) from the pace so far, once an instance has returned
-	ExpectedEnd *string `form:"expected_end,omitempty" json:"expected_end,omitempty" xml:"expected_end,omitempty"`
+	// Instances whose upkeep has begun or is over
+	Begun int `form:"begun" json:"begun" xml:"begun"`
 }
 
 // ReportBurnResponseBody is the type of the "admin" service "report_burn"
@@ -167,9 +70,7 @@
 	// Time of the report (RFC 3339)
 	At string `form:"at" json:"at" xml:"at"`
 	// Entry instances whose counters are included
-	Members []string `form:"members" json:"members" xml:"members"`
-	// Entry instances that did not answer; their requests are not counted
-	Missing    []string                     `form:"missing" json:"missing" xml:"missing"`
+	Members    []string                     `form:"members" json:"members" xml:"members"`
 	Objectives []*BurnObjectiveResponseBody `form:"objectives" json:"objectives" xml:"objectives"`
 }
 
@@ -190,10 +91,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -215,10 +116,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -240,10 +141,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -265,10 +166,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -290,10 +191,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -315,10 +216,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -340,10 +241,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -365,10 +266,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -390,10 +291,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -415,10 +316,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -440,10 +341,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -465,10 +366,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -490,10 +391,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -515,17 +416,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// ConfigHistoryBadRequestResponseBody is the type of the "admin" service
-// "config_history" endpoint HTTP response body for the "bad_request" error.
-type ConfigHistoryBadRequestResponseBody struct {
+// ShowFleetBadRequestResponseBody is the type of the "admin" service
+// "show_fleet" endpoint HTTP response body for the "bad_request" error.
+type ShowFleetBadRequestResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -540,17 +441,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// ConfigHistoryConflictResponseBody is the type of the "admin" service
-// "config_history" endpoint HTTP response body for the "conflict" error.
-type ConfigHistoryConflictResponseBody struct {
+// ShowFleetConflictResponseBody is the type of the "admin" service
+// "show_fleet" endpoint HTTP response body for the "conflict" error.
+type ShowFleetConflictResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -565,17 +466,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// ConfigHistoryNotFoundResponseBody is the type of the "admin" service
-// "config_history" endpoint HTTP response body for the "not_found" error.
-type ConfigHistoryNotFoundResponseBody struct {
+// ShowFleetNotFoundResponseBody is the type of the "admin" service
+// "show_fleet" endpoint HTTP response body for the "not_found" error.
+type ShowFleetNotFoundResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -590,17 +491,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// ConfigHistoryRefusedResponseBody is the type of the "admin" service
-// "config_history" endpoint HTTP response body for the "refused" error.
-type ConfigHistoryRefusedResponseBody struct {
+// ShowFleetRefusedResponseBody is the type of the "admin" service "show_fleet"
+// endpoint HTTP response body for the "refused" error.
+type ShowFleetRefusedResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -615,17 +516,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// ConfigHistoryUnauthorizedResponseBody is the type of the "admin" service
-// "config_history" endpoint HTTP response body for the "unauthorized" error.
-type ConfigHistoryUnauthorizedResponseBody struct {
+// ShowFleetUnauthorizedResponseBody is the type of the "admin" service
+// "show_fleet" endpoint HTTP response body for the "unauthorized" error.
+type ShowFleetUnauthorizedResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -640,17 +541,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// ConfigHistoryUnavailableResponseBody is the type of the "admin" service
-// "config_history" endpoint HTTP response body for the "unavailable" error.
-type ConfigHistoryUnavailableResponseBody struct {
+// ShowFleetUnavailableResponseBody is the type of the "admin" service
+// "show_fleet" endpoint HTTP response body for the "unavailable" error.
+type ShowFleetUnavailableResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -665,17 +566,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// ConfigHistoryUnknownResponseBody is the type of the "admin" service
-// "config_history" endpoint HTTP response body for the "unknown" error.
-type ConfigHistoryUnknownResponseBody struct {
+// ShowFleetUnknownResponseBody is the type of the "admin" service "show_fleet"
+// endpoint HTTP response body for the "unknown" error.
+type ShowFleetUnknownResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -690,17 +591,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// VerdictBadRequestResponseBody is the type of the "admin" service "verdict"
-// endpoint HTTP response body for the "bad_request" error.
-type VerdictBadRequestResponseBody struct {
+// StartWaveBadRequestResponseBody is the type of the "admin" service
+// "start_wave" endpoint HTTP response body for the "bad_request" error.
+type StartWaveBadRequestResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -715,17 +616,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// VerdictConflictResponseBody is the type of the "admin" service "verdict"
-// endpoint HTTP response body for the "conflict" error.
-type VerdictConflictResponseBody struct {
+// StartWaveConflictResponseBody is the type of the "admin" service
+// "start_wave" endpoint HTTP response body for the "conflict" error.
+type StartWaveConflictResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -740,17 +641,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// VerdictNotFoundResponseBody is the type of the "admin" service "verdict"
-// endpoint HTTP response body for the "not_found" error.
-type VerdictNotFoundResponseBody struct {
+// StartWaveNotFoundResponseBody is the type of the "admin" service
+// "start_wave" endpoint HTTP response body for the "not_found" error.
+type StartWaveNotFoundResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -765,17 +666,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// VerdictRefusedResponseBody is the type of the "admin" service "verdict"
+// StartWaveRefusedResponseBody is the type of the "admin" service "start_wave"
 // endpoint HTTP response body for the "refused" error.
-type VerdictRefusedResponseBody struct {
+type StartWaveRefusedResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -790,17 +691,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// VerdictUnauthorizedResponseBody is the type of the "admin" service "verdict"
-// endpoint HTTP response body for the "unauthorized" error.
-type VerdictUnauthorizedResponseBody struct {
+// StartWaveUnauthorizedResponseBody is the type of the "admin" service
+// "start_wave" endpoint HTTP response body for the "unauthorized" error.
+type StartWaveUnauthorizedResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -815,17 +716,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// VerdictUnavailableResponseBody is the type of the "admin" service "verdict"
-// endpoint HTTP response body for the "unavailable" error.
-type VerdictUnavailableResponseBody struct {
+// StartWaveUnavailableResponseBody is the type of the "admin" service
+// "start_wave" endpoint HTTP response body for the "unavailable" error.
+type StartWaveUnavailableResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -840,92 +741,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// VerdictUnknownResponseBody is the type of the "admin" service "verdict"
+// StartWaveUnknownResponseBody is the type of the "admin" service "start_wave"
 // endpoint HTTP response body for the "unknown" error.
-type VerdictUnknownResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// IssueKeyBadRequestResponseBody is the type of the "admin" service
-// "issue_key" endpoint HTTP response body for the "bad_request" error.
-type IssueKeyBadRequestResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// IssueKeyConflictResponseBody is the type of the "admin" service "issue_key"
-// endpoint HTTP response body for the "conflict" error.
-type IssueKeyConflictResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// IssueKeyNotFoundResponseBody is the type of the "admin" service "issue_key"
-// endpoint HTTP response body for the "not_found" error.
-type IssueKeyNotFoundResponseBody struct {
+type StartWaveUnknownResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -940,17 +766,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// IssueKeyRefusedResponseBody is the type of the "admin" service "issue_key"
-// endpoint HTTP response body for the "refused" error.
-type IssueKeyRefusedResponseBody struct {
+// ReportBurnBadRequestResponseBody is the type of the "admin" service
+// "report_burn" endpoint HTTP response body for the "bad_request" error.
+type ReportBurnBadRequestResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -965,17 +791,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// IssueKeyUnauthorizedResponseBody is the type of the "admin" service
-// "issue_key" endpoint HTTP response body for the "unauthorized" error.
-type IssueKeyUnauthorizedResponseBody struct {
+// ReportBurnConflictResponseBody is the type of the "admin" service
+// "report_burn" endpoint HTTP response body for the "conflict" error.
+type ReportBurnConflictResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -990,17 +816,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// IssueKeyUnavailableResponseBody is the type of the "admin" service
-// "issue_key" endpoint HTTP response body for the "unavailable" error.
-type IssueKeyUnavailableResponseBody struct {
+// ReportBurnNotFoundResponseBody is the type of the "admin" service
+// "report_burn" endpoint HTTP response body for the "not_found" error.
+type ReportBurnNotFoundResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -1015,17 +841,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// IssueKeyUnknownResponseBody is the type of the "admin" service "issue_key"
-// endpoint HTTP response body for the "unknown" error.
-type IssueKeyUnknownResponseBody struct {
+// ReportBurnRefusedResponseBody is the type of the "admin" service
+// "report_burn" endpoint HTTP response body for the "refused" error.
+type ReportBurnRefusedResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -1040,17 +866,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// WithdrawKeyBadRequestResponseBody is the type of the "admin" service
-// "withdraw_key" endpoint HTTP response body for the "bad_request" error.
-type WithdrawKeyBadRequestResponseBody struct {
+// ReportBurnUnauthorizedResponseBody is the type of the "admin" service
+// "report_burn" endpoint HTTP response body for the "unauthorized" error.
+type ReportBurnUnauthorizedResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -1065,17 +891,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// WithdrawKeyConflictResponseBody is the type of the "admin" service
-// "withdraw_key" endpoint HTTP response body for the "conflict" error.
-type WithdrawKeyConflictResponseBody struct {
+// ReportBurnUnavailableResponseBody is the type of the "admin" service
+// "report_burn" endpoint HTTP response body for the "unavailable" error.
+type ReportBurnUnavailableResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
@@ -1090,17 +916,17 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// WithdrawKeyNotFoundResponseBody is the type of the "admin" service
-// "withdraw_key" endpoint HTTP response body for the "not_found" error.
-type WithdrawKeyNotFoundResponseBody struct {
+// ReportBurnUnknownResponseBody is the type of the "admin" service
+// "report_burn" endpoint HTTP response body for the "unknown" error.
+type ReportBurnUnknownResponseBody struct {
 	// Error name
 	Name string `form:"name" json:"name" xml:"name"`
 	// URI reference that identifies the problem type
