@@ -1115,3260 +941,190 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
-// WithdrawKeyRefusedResponseBody is the type of the "admin" service
-// "withdraw_key" endpoint HTTP response body for the "refused" error.
-type WithdrawKeyRefusedResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+// FindingResponseBody is used to define fields on response body types.
+type FindingResponseBody struct {
+	// JSON pointer
+	Place string `form:"place" json:"place" xml:"place"`
+	// What is wrong
+	Message string `form:"message" json:"message" xml:"message"`
 }
 
-// WithdrawKeyUnauthorizedResponseBody is the type of the "admin" service
-// "withdraw_key" endpoint HTTP response body for the "unauthorized" error.
-type WithdrawKeyUnauthorizedResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+// WorkerViewResponseBody is used to define fields on response body types.
+type WorkerViewResponseBody struct {
+	ID   string `form:"id" json:"id" xml:"id"`
+	Pool string `form:"pool" json:"pool" xml:"pool"`
+	// Availability zone
+	Zone string `form:"zone" json:"zone" xml:"zone"`
+	Rack string `form:"rack" json:"rack" xml:"rack"`
+	// Instance that the worker lives on
+	Instance string `form:"instance" json:"instance" xml:"instance"`
+	// Whether the worker gets new work
+	Phase string `form:"phase" json:"phase" xml:"phase"`
+	// Runs that are placed there
+	Runs int `form:"runs" json:"runs" xml:"runs"`
+	// Cores that the runs take
+	UsedCores float64 `form:"used_cores" json:"used_cores" xml:"used_cores"`
+	// Cores that the worker has
+	Cores float64 `form:"cores" json:"cores" xml:"cores"`
+}
+
+// WaveViewResponseBody is used to define fields on response body types.
+type WaveViewResponseBody struct {
+	Number int64  `form:"number" json:"number" xml:"number"`
+	Status string `form:"status" json:"status" xml:"status"`
+	// Instances that the wave asks for
+	Total int `form:"total" json:"total" xml:"total"`
+	// Instances whose upkeep has begun or is over
+	Begun int `form:"begun" json:"begun" xml:"begun"`
 }
 
-// WithdrawKeyUnavailableResponseBody is the type of the "admin" service
-// "withdraw_key" endpoint HTTP response body for the "unavailable" error.
-type WithdrawKeyUnavailableResponseBody struct {
-	// Error name
+// BurnObjectiveResponseBody is used to define fields on response body types.
+type BurnObjectiveResponseBody struct {
 	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Queue that the objective covers, or empty
+	Queue string `form:"queue" json:"queue" xml:"queue"`
+	// Organisation that the objective covers, or empty
+	Organisation string `form:"organisation" json:"organisation" xml:"organisation"`
+	// Fraction of good requests, between 0 and 1
+	Target float64 `form:"target" json:"target" xml:"target"`
+	// Time in milliseconds within which a request counts as good
+	LatencyMs int64 `form:"latency_ms" json:"latency_ms" xml:"latency_ms"`
+	// Window of the error budget in hours
+	WindowHours int64 `form:"window_hours" json:"window_hours" xml:"window_hours"`
+	// Unused fraction of the error budget; negative when it is overspent
+	BudgetLeft float64 `form:"budget_left" json:"budget_left" xml:"budget_left"`
+	// Burn per window, shortest first; the last is the objective's window
+	Windows []*BurnWindowResponseBody `form:"windows" json:"windows" xml:"windows"`
+	// Parts of the last 24 hours, oldest first
+	History []*BurnPointResponseBody `form:"history" json:"history" xml:"history"`
 }
 
-// WithdrawKeyUnknownResponseBody is the type of the "admin" service
-// "withdraw_key" endpoint HTTP response body for the "unknown" error.
-type WithdrawKeyUnknownResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+// BurnWindowResponseBody is used to define fields on response body types.
+type BurnWindowResponseBody struct {
+	// Length of the window in seconds
+	Seconds int64 `form:"seconds" json:"seconds" xml:"seconds"`
+	// Requests that met the objective
+	Good uint64 `form:"good" json:"good" xml:"good"`
+	// Requests that missed the objective
+	Bad uint64 `form:"bad" json:"bad" xml:"bad"`
+	// Error rate as a multiple of the rate that uses up the budget exactly at the
+	// end of the window
+	BurnRate float64 `form:"burn_rate" json:"burn_rate" xml:"burn_rate"`
 }
 
-// ListKeysBadRequestResponseBody is the type of the "admin" service
-// "list_keys" endpoint HTTP response body for the "bad_request" error.
-type ListKeysBadRequestResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+// BurnPointResponseBody is used to define fields on response body types.
+type BurnPointResponseBody struct {
+	Good uint64 `form:"good" json:"good" xml:"good"`
+	Bad  uint64 `form:"bad" json:"bad" xml:"bad"`
 }
 
-// ListKeysConflictResponseBody is the type of the "admin" service "list_keys"
-// endpoint HTTP response body for the "conflict" error.
-type ListKeysConflictResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListKeysNotFoundResponseBody is the type of the "admin" service "list_keys"
-// endpoint HTTP response body for the "not_found" error.
-type ListKeysNotFoundResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListKeysRefusedResponseBody is the type of the "admin" service "list_keys"
-// endpoint HTTP response body for the "refused" error.
-type ListKeysRefusedResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListKeysUnauthorizedResponseBody is the type of the "admin" service
-// "list_keys" endpoint HTTP response body for the "unauthorized" error.
-type ListKeysUnauthorizedResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListKeysUnavailableResponseBody is the type of the "admin" service
-// "list_keys" endpoint HTTP response body for the "unavailable" error.
-type ListKeysUnavailableResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListKeysUnknownResponseBody is the type of the "admin" service "list_keys"
-// endpoint HTTP response body for the "unknown" error.
-type ListKeysUnknownResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListInstancesBadRequestResponseBody is the type of the "admin" service
-// "list_instances" endpoint HTTP response body for the "bad_request" error.
-type ListInstancesBadRequestResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListInstancesConflictResponseBody is the type of the "admin" service
-// "list_instances" endpoint HTTP response body for the "conflict" error.
-type ListInstancesConflictResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListInstancesNotFoundResponseBody is the type of the "admin" service
-// "list_instances" endpoint HTTP response body for the "not_found" error.
-type ListInstancesNotFoundResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListInstancesRefusedResponseBody is the type of the "admin" service
-// "list_instances" endpoint HTTP response body for the "refused" error.
-type ListInstancesRefusedResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListInstancesUnauthorizedResponseBody is the type of the "admin" service
-// "list_instances" endpoint HTTP response body for the "unauthorized" error.
-type ListInstancesUnauthorizedResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListInstancesUnavailableResponseBody is the type of the "admin" service
-// "list_instances" endpoint HTTP response body for the "unavailable" error.
-type ListInstancesUnavailableResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListInstancesUnknownResponseBody is the type of the "admin" service
-// "list_instances" endpoint HTTP response body for the "unknown" error.
-type ListInstancesUnknownResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListMembersBadRequestResponseBody is the type of the "admin" service
-// "list_members" endpoint HTTP response body for the "bad_request" error.
-type ListMembersBadRequestResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListMembersConflictResponseBody is the type of the "admin" service
-// "list_members" endpoint HTTP response body for the "conflict" error.
-type ListMembersConflictResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListMembersNotFoundResponseBody is the type of the "admin" service
-// "list_members" endpoint HTTP response body for the "not_found" error.
-type ListMembersNotFoundResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListMembersRefusedResponseBody is the type of the "admin" service
-// "list_members" endpoint HTTP response body for the "refused" error.
-type ListMembersRefusedResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListMembersUnauthorizedResponseBody is the type of the "admin" service
-// "list_members" endpoint HTTP response body for the "unauthorized" error.
-type ListMembersUnauthorizedResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListMembersUnavailableResponseBody is the type of the "admin" service
-// "list_members" endpoint HTTP response body for the "unavailable" error.
-type ListMembersUnavailableResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListMembersUnknownResponseBody is the type of the "admin" service
-// "list_members" endpoint HTTP response body for the "unknown" error.
-type ListMembersUnknownResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// StartWaveBadRequestResponseBody is the type of the "admin" service
-// "start_wave" endpoint HTTP response body for the "bad_request" error.
-type StartWaveBadRequestResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// StartWaveConflictResponseBody is the type of the "admin" service
-// "start_wave" endpoint HTTP response body for the "conflict" error.
-type StartWaveConflictResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// StartWaveNotFoundResponseBody is the type of the "admin" service
-// "start_wave" endpoint HTTP response body for the "not_found" error.
-type StartWaveNotFoundResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// StartWaveRefusedResponseBody is the type of the "admin" service "start_wave"
-// endpoint HTTP response body for the "refused" error.
-type StartWaveRefusedResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// StartWaveUnauthorizedResponseBody is the type of the "admin" service
-// "start_wave" endpoint HTTP response body for the "unauthorized" error.
-type StartWaveUnauthorizedResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// StartWaveUnavailableResponseBody is the type of the "admin" service
-// "start_wave" endpoint HTTP response body for the "unavailable" error.
-type StartWaveUnavailableResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// StartWaveUnknownResponseBody is the type of the "admin" service "start_wave"
-// endpoint HTTP response body for the "unknown" error.
-type StartWaveUnknownResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListWavesBadRequestResponseBody is the type of the "admin" service
-// "list_waves" endpoint HTTP response body for the "bad_request" error.
-type ListWavesBadRequestResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListWavesConflictResponseBody is the type of the "admin" service
-// "list_waves" endpoint HTTP response body for the "conflict" error.
-type ListWavesConflictResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListWavesNotFoundResponseBody is the type of the "admin" service
-// "list_waves" endpoint HTTP response body for the "not_found" error.
-type ListWavesNotFoundResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListWavesRefusedResponseBody is the type of the "admin" service "list_waves"
-// endpoint HTTP response body for the "refused" error.
-type ListWavesRefusedResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListWavesUnauthorizedResponseBody is the type of the "admin" service
-// "list_waves" endpoint HTTP response body for the "unauthorized" error.
-type ListWavesUnauthorizedResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListWavesUnavailableResponseBody is the type of the "admin" service
-// "list_waves" endpoint HTTP response body for the "unavailable" error.
-type ListWavesUnavailableResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ListWavesUnknownResponseBody is the type of the "admin" service "list_waves"
-// endpoint HTTP response body for the "unknown" error.
-type ListWavesUnknownResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ChangeWaveBadRequestResponseBody is the type of the "admin" service
-// "change_wave" endpoint HTTP response body for the "bad_request" error.
-type ChangeWaveBadRequestResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ChangeWaveConflictResponseBody is the type of the "admin" service
-// "change_wave" endpoint HTTP response body for the "conflict" error.
-type ChangeWaveConflictResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ChangeWaveNotFoundResponseBody is the type of the "admin" service
-// "change_wave" endpoint HTTP response body for the "not_found" error.
-type ChangeWaveNotFoundResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ChangeWaveRefusedResponseBody is the type of the "admin" service
-// "change_wave" endpoint HTTP response body for the "refused" error.
-type ChangeWaveRefusedResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ChangeWaveUnauthorizedResponseBody is the type of the "admin" service
-// "change_wave" endpoint HTTP response body for the "unauthorized" error.
-type ChangeWaveUnauthorizedResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ChangeWaveUnavailableResponseBody is the type of the "admin" service
-// "change_wave" endpoint HTTP response body for the "unavailable" error.
-type ChangeWaveUnavailableResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ChangeWaveUnknownResponseBody is the type of the "admin" service
-// "change_wave" endpoint HTTP response body for the "unknown" error.
-type ChangeWaveUnknownResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ReportBurnBadRequestResponseBody is the type of the "admin" service
-// "report_burn" endpoint HTTP response body for the "bad_request" error.
-type ReportBurnBadRequestResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ReportBurnConflictResponseBody is the type of the "admin" service
-// "report_burn" endpoint HTTP response body for the "conflict" error.
-type ReportBurnConflictResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ReportBurnNotFoundResponseBody is the type of the "admin" service
-// "report_burn" endpoint HTTP response body for the "not_found" error.
-type ReportBurnNotFoundResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ReportBurnRefusedResponseBody is the type of the "admin" service
-// "report_burn" endpoint HTTP response body for the "refused" error.
-type ReportBurnRefusedResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ReportBurnUnauthorizedResponseBody is the type of the "admin" service
-// "report_burn" endpoint HTTP response body for the "unauthorized" error.
-type ReportBurnUnauthorizedResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ReportBurnUnavailableResponseBody is the type of the "admin" service
-// "report_burn" endpoint HTTP response body for the "unavailable" error.
-type ReportBurnUnavailableResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// ReportBurnUnknownResponseBody is the type of the "admin" service
-// "report_burn" endpoint HTTP response body for the "unknown" error.
-type ReportBurnUnknownResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// FindingResponseBody is used to define fields on response body types.
-type FindingResponseBody struct {
-	// JSON pointer
-	Place string `form:"place" json:"place" xml:"place"`
-	// What is wrong
-	Message string `form:"message" json:"message" xml:"message"`
-}
-
-// MemberProgressResponseBody is used to define fields on response body types.
-type MemberProgressResponseBody struct {
-	// Entry instance
-	Member string `form:"member" json:"member" xml:"member"`
-	// Whether the entry instance has applied the record
-	InForce bool `form:"in_force" json:"in_force" xml:"in_force"`
-	// Time in milliseconds from the request until the entry instance had applied
-	// the record
-	AfterMs int64 `form:"after_ms" json:"after_ms" xml:"after_ms"`
-}
-
-// ChangeResponse is used to define fields on response body types.
-type ChangeResponse struct {
-	Version uint64  `form:"version" json:"version" xml:"version"`
-	Offset  uint64  `form:"offset" json:"offset" xml:"offset"`
-	Record  string  `form:"record" json:"record" xml:"record"`
-	Author  *string `form:"author,omitempty" json:"author,omitempty" xml:"author,omitempty"`
-}
-
-// KeyViewResponse is used to define fields on response body types.
-type KeyViewResponse struct {
-	KeyID string `form:"key_id" json:"key_id" xml:"key_id"`
-	Team  string `form:"team" json:"team" xml:"team"`
-	// Log offset of the record that issued the key
-	Issued uint64 `form:"issued" json:"issued" xml:"issued"`
-}
-
-// InstanceViewResponse is used to define fields on response body types.
-type InstanceViewResponse struct {
-	ID   string `form:"id" json:"id" xml:"id"`
-	Pool string `form:"pool" json:"pool" xml:"pool"`
-	// Availability zone
-	Zone         string  `form:"zone" json:"zone" xml:"zone"`
-	Rack         string  `form:"rack" json:"rack" xml:"rack"`
-	Phase        string  `form:"phase" json:"phase" xml:"phase"`
-	Healthy      bool    `form:"healthy" json:"healthy" xml:"healthy"`
-	Wave         *string `form:"wave,omitempty" json:"wave,omitempty" xml:"wave,omitempty"`
-	MaintainedIn *string `form:"maintained_in,omitempty" json:"maintained_in,omitempty" xml:"maintained_in,omitempty"`
-}
-
-// MemberViewResponse is used to define fields on response body types.
-type MemberViewResponse struct {
-	Name        string `form:"name" json:"name" xml:"name"`
-	Incarnation uint64 `form:"incarnation" json:"incarnation" xml:"incarnation"`
-	Address     string `form:"address" json:"address" xml:"address"`
-	// Availability zone
-	Zone string `form:"zone" json:"zone" xml:"zone"`
-}
-
-// WaveViewResponse is used to define fields on response body types.
-type WaveViewResponse struct {
-	Wave   string   `form:"wave" json:"wave" xml:"wave"`
-	Action string   `form:"action" json:"action" xml:"action"`
-	Pools  []string `form:"pools" json:"pools" xml:"pools"`
-	To     *string  `form:"to,omitempty" json:"to,omitempty" xml:"to,omitempty"`
-	Status string   `form:"status" json:"status" xml:"status"`
-	Reason *string  `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Instances of the wave
-	Total int `form:"total" json:"total" xml:"total"`
-	// Instances that are back in service
-	Done int `form:"done" json:"done" xml:"done"`
-	// Instances that are out of service for the wave
-	Out int `form:"out" json:"out" xml:"out"`
-	// Instances that are still to be taken out, in planned order, for a dry run
-	Order []string `form:"order,omitempty" json:"order,omitempty" xml:"order,omitempty"`
-	// Expected end (RFC 3339) from the pace so far, once an instance has returned
-	ExpectedEnd *string `form:"expected_end,omitempty" json:"expected_end,omitempty" xml:"expected_end,omitempty"`
-}
-
-// BurnObjectiveResponseBody is used to define fields on response body types.
-type BurnObjectiveResponseBody struct {
-	Name string `form:"name" json:"name" xml:"name"`
-	// Pool that the objective covers, or empty
-	Pool string `form:"pool" json:"pool" xml:"pool"`
-	// Team that the objective covers, or empty
-	Team string `form:"team" json:"team" xml:"team"`
-	// Fraction of good requests, between 0 and 1
-	Target float64 `form:"target" json:"target" xml:"target"`
-	// Time in milliseconds within which a request counts as good
-	LatencyMs int64 `form:"latency_ms" json:"latency_ms" xml:"latency_ms"`
-	// Window of the error budget in hours
-	WindowHours int `form:"window_hours" json:"window_hours" xml:"window_hours"`
-	// Unused fraction of the error budget; negative when it is overspent
-	BudgetLeft float64 `form:"budget_left" json:"budget_left" xml:"budget_left"`
-	// Burn per window, shortest first; the last is the objective's window
-	Windows []*BurnWindowResponseBody `form:"windows" json:"windows" xml:"windows"`
-	// Parts of the last 24 hours, oldest first
-	History []*BurnPointResponseBody `form:"history" json:"history" xml:"history"`
-}
-
-// BurnWindowResponseBody is used to define fields on response body types.
-type BurnWindowResponseBody struct {
-	// Length of the window in seconds
-	Seconds int64 `form:"seconds" json:"seconds" xml:"seconds"`
-	// Requests that met the objective
-	Good uint64 `form:"good" json:"good" xml:"good"`
-	// Requests that missed the objective
-	Bad uint64 `form:"bad" json:"bad" xml:"bad"`
-	// Error rate as a multiple of the rate that uses up the budget exactly at the
-	// end of the window
-	BurnRate float64 `form:"burn_rate" json:"burn_rate" xml:"burn_rate"`
-}
-
-// BurnPointResponseBody is used to define fields on response body types.
-type BurnPointResponseBody struct {
-	Good uint64 `form:"good" json:"good" xml:"good"`
-	Bad  uint64 `form:"bad" json:"bad" xml:"bad"`
-}
-
-// NewGetConfigResponseBody builds the HTTP response body from the result of
-// the "get_config" endpoint of the "admin" service.
-func NewGetConfigResponseBody(res *admin.GetConfigResult) *GetConfigResponseBody {
-	body := &GetConfigResponseBody{
-		Version:  res.Version,
-		Document: res.Document,
-	}
-	return body
-}
-
-// NewPatchConfigResponseBody builds the HTTP response body from the result of
-// the "patch_config" endpoint of the "admin" service.
-func NewPatchConfigResponseBody(res *admin.Verdict) *PatchConfigResponseBody {
-	body := &PatchConfigResponseBody{
-		ID:      res.ID,
-		Outcome: res.Outcome,
-		Version: res.Version,
-		Offset:  res.Offset,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	if res.Members != nil {
-		body.Members = make([]*MemberProgressResponseBody, len(res.Members))
-		for i, val := range res.Members {
-			if val == nil {
-				body.Members[i] = nil
-				continue
-			}
-			body.Members[i] = marshalAdminMemberProgressToMemberProgressResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewConfigHistoryResponseBody builds the HTTP response body from the result
-// of the "config_history" endpoint of the "admin" service.
-func NewConfigHistoryResponseBody(res []*admin.Change) ConfigHistoryResponseBody {
-	body := make([]*ChangeResponse, len(res))
-	for i, val := range res {
-		if val == nil {
-			body[i] = nil
-			continue
-		}
-		body[i] = marshalAdminChangeToChangeResponse(val)
-	}
-	return body
-}
-
-// NewVerdictResponseBody builds the HTTP response body from the result of the
-// "verdict" endpoint of the "admin" service.
-func NewVerdictResponseBody(res *admin.Verdict) *VerdictResponseBody {
-	body := &VerdictResponseBody{
-		ID:      res.ID,
-		Outcome: res.Outcome,
-		Version: res.Version,
-		Offset:  res.Offset,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	if res.Members != nil {
-		body.Members = make([]*MemberProgressResponseBody, len(res.Members))
-		for i, val := range res.Members {
-			if val == nil {
-				body.Members[i] = nil
-				continue
-			}
-			body.Members[i] = marshalAdminMemberProgressToMemberProgressResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewIssueKeyResponseBody builds the HTTP response body from the result of the
-// "issue_key" endpoint of the "admin" service.
-func NewIssueKeyResponseBody(res *admin.IssueKeyResult) *IssueKeyResponseBody {
-	body := &IssueKeyResponseBody{
-		KeyID: res.KeyID,
-		Key:   res.Key,
-	}
-	if res.Verdict != nil {
-		body.Verdict = marshalAdminVerdictToVerdictResponseBody(res.Verdict)
-	}
-	return body
-}
-
-// NewWithdrawKeyResponseBody builds the HTTP response body from the result of
-// the "withdraw_key" endpoint of the "admin" service.
-func NewWithdrawKeyResponseBody(res *admin.Verdict) *WithdrawKeyResponseBody {
-	body := &WithdrawKeyResponseBody{
-		ID:      res.ID,
-		Outcome: res.Outcome,
-		Version: res.Version,
-		Offset:  res.Offset,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	if res.Members != nil {
-		body.Members = make([]*MemberProgressResponseBody, len(res.Members))
-		for i, val := range res.Members {
-			if val == nil {
-				body.Members[i] = nil
-				continue
-			}
-			body.Members[i] = marshalAdminMemberProgressToMemberProgressResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewListKeysResponseBody builds the HTTP response body from the result of the
-// "list_keys" endpoint of the "admin" service.
-func NewListKeysResponseBody(res []*admin.KeyView) ListKeysResponseBody {
-	body := make([]*KeyViewResponse, len(res))
-	for i, val := range res {
-		if val == nil {
-			body[i] = nil
-			continue
-		}
-		body[i] = marshalAdminKeyViewToKeyViewResponse(val)
-	}
-	return body
-}
-
-// NewListInstancesResponseBody builds the HTTP response body from the result
-// of the "list_instances" endpoint of the "admin" service.
-func NewListInstancesResponseBody(res []*admin.InstanceView) ListInstancesResponseBody {
-	body := make([]*InstanceViewResponse, len(res))
-	for i, val := range res {
-		if val == nil {
-			body[i] = nil
-			continue
-		}
-		body[i] = marshalAdminInstanceViewToInstanceViewResponse(val)
-	}
-	return body
-}
-
-// NewListMembersResponseBody builds the HTTP response body from the result of
-// the "list_members" endpoint of the "admin" service.
-func NewListMembersResponseBody(res []*admin.MemberView) ListMembersResponseBody {
-	body := make([]*MemberViewResponse, len(res))
-	for i, val := range res {
-		if val == nil {
-			body[i] = nil
-			continue
-		}
-		body[i] = marshalAdminMemberViewToMemberViewResponse(val)
-	}
-	return body
-}
-
-// NewStartWaveResponseBody builds the HTTP response body from the result of
-// the "start_wave" endpoint of the "admin" service.
-func NewStartWaveResponseBody(res *admin.WaveView) *StartWaveResponseBody {
-	body := &StartWaveResponseBody{
-		Wave:        res.Wave,
-		Action:      res.Action,
-		To:          res.To,
-		Status:      res.Status,
-		Reason:      res.Reason,
-		Total:       res.Total,
-		Done:        res.Done,
-		Out:         res.Out,
-		ExpectedEnd: res.ExpectedEnd,
-	}
-	if res.Pools != nil {
-		body.Pools = make([]string, len(res.Pools))
-		for i, val := range res.Pools {
-			body.Pools[i] = val
-		}
-	} else {
-		body.Pools = []string{}
-	}
-	if res.Order != nil {
-		body.Order = make([]string, len(res.Order))
-		for i, val := range res.Order {
-			body.Order[i] = val
-		}
-	}
-	return body
-}
-
-// NewListWavesResponseBody builds the HTTP response body from the result of
-// the "list_waves" endpoint of the "admin" service.
-func NewListWavesResponseBody(res []*admin.WaveView) ListWavesResponseBody {
-	body := make([]*WaveViewResponse, len(res))
-	for i, val := range res {
-		if val == nil {
-			body[i] = nil
-			continue
-		}
-		body[i] = marshalAdminWaveViewToWaveViewResponse(val)
-	}
-	return body
-}
-
-// NewChangeWaveResponseBody builds the HTTP response body from the result of
-// the "change_wave" endpoint of the "admin" service.
-func NewChangeWaveResponseBody(res *admin.WaveView) *ChangeWaveResponseBody {
-	body := &ChangeWaveResponseBody{
-		Wave:        res.Wave,
-		Action:      res.Action,
-		To:          res.To,
-		Status:      res.Status,
-		Reason:      res.Reason,
-		Total:       res.Total,
-		Done:        res.Done,
-		Out:         res.Out,
-		ExpectedEnd: res.ExpectedEnd,
-	}
-	if res.Pools != nil {
-		body.Pools = make([]string, len(res.Pools))
-		for i, val := range res.Pools {
-			body.Pools[i] = val
-		}
-	} else {
-		body.Pools = []string{}
-	}
-	if res.Order != nil {
-		body.Order = make([]string, len(res.Order))
-		for i, val := range res.Order {
-			body.Order[i] = val
-		}
-	}
-	return body
-}
-
-// NewReportBurnResponseBody builds the HTTP response body from the result of
-// the "report_burn" endpoint of the "admin" service.
-func NewReportBurnResponseBody(res *admin.BurnReport) *ReportBurnResponseBody {
-	body := &ReportBurnResponseBody{
-		At: res.At,
-	}
-	if res.Members != nil {
-		body.Members = make([]string, len(res.Members))
-		for i, val := range res.Members {
-			body.Members[i] = val
-		}
-	} else {
-		body.Members = []string{}
-	}
-	if res.Missing != nil {
-		body.Missing = make([]string, len(res.Missing))
-		for i, val := range res.Missing {
-			body.Missing[i] = val
-		}
-	} else {
-		body.Missing = []string{}
-	}
-	if res.Objectives != nil {
-		body.Objectives = make([]*BurnObjectiveResponseBody, len(res.Objectives))
-		for i, val := range res.Objectives {
-			if val == nil {
-				body.Objectives[i] = nil
-				continue
-			}
-			body.Objectives[i] = marshalAdminBurnObjectiveToBurnObjectiveResponseBody(val)
-		}
-	} else {
-		body.Objectives = []*BurnObjectiveResponseBody{}
-	}
-	return body
-}
-
-// NewGetConfigBadRequestResponseBody builds the HTTP response body from the
-// result of the "get_config" endpoint of the "admin" service.
-func NewGetConfigBadRequestResponseBody(res *admin.Problem) *GetConfigBadRequestResponseBody {
-	body := &GetConfigBadRequestResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewGetConfigConflictResponseBody builds the HTTP response body from the
-// result of the "get_config" endpoint of the "admin" service.
-func NewGetConfigConflictResponseBody(res *admin.Problem) *GetConfigConflictResponseBody {
-	body := &GetConfigConflictResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewGetConfigNotFoundResponseBody builds the HTTP response body from the
-// result of the "get_config" endpoint of the "admin" service.
-func NewGetConfigNotFoundResponseBody(res *admin.Problem) *GetConfigNotFoundResponseBody {
-	body := &GetConfigNotFoundResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewGetConfigRefusedResponseBody builds the HTTP response body from the
-// result of the "get_config" endpoint of the "admin" service.
-func NewGetConfigRefusedResponseBody(res *admin.Problem) *GetConfigRefusedResponseBody {
-	body := &GetConfigRefusedResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewGetConfigUnauthorizedResponseBody builds the HTTP response body from the
-// result of the "get_config" endpoint of the "admin" service.
-func NewGetConfigUnauthorizedResponseBody(res *admin.Problem) *GetConfigUnauthorizedResponseBody {
-	body := &GetConfigUnauthorizedResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewGetConfigUnavailableResponseBody builds the HTTP response body from the
-// result of the "get_config" endpoint of the "admin" service.
-func NewGetConfigUnavailableResponseBody(res *admin.Problem) *GetConfigUnavailableResponseBody {
-	body := &GetConfigUnavailableResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewGetConfigUnknownResponseBody builds the HTTP response body from the
-// result of the "get_config" endpoint of the "admin" service.
-func NewGetConfigUnknownResponseBody(res *admin.Problem) *GetConfigUnknownResponseBody {
-	body := &GetConfigUnknownResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewPatchConfigBadRequestResponseBody builds the HTTP response body from the
-// result of the "patch_config" endpoint of the "admin" service.
-func NewPatchConfigBadRequestResponseBody(res *admin.Problem) *PatchConfigBadRequestResponseBody {
-	body := &PatchConfigBadRequestResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewPatchConfigConflictResponseBody builds the HTTP response body from the
-// result of the "patch_config" endpoint of the "admin" service.
-func NewPatchConfigConflictResponseBody(res *admin.Problem) *PatchConfigConflictResponseBody {
-	body := &PatchConfigConflictResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewPatchConfigNotFoundResponseBody builds the HTTP response body from the
-// result of the "patch_config" endpoint of the "admin" service.
-func NewPatchConfigNotFoundResponseBody(res *admin.Problem) *PatchConfigNotFoundResponseBody {
-	body := &PatchConfigNotFoundResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewPatchConfigRefusedResponseBody builds the HTTP response body from the
-// result of the "patch_config" endpoint of the "admin" service.
-func NewPatchConfigRefusedResponseBody(res *admin.Problem) *PatchConfigRefusedResponseBody {
-	body := &PatchConfigRefusedResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewPatchConfigUnauthorizedResponseBody builds the HTTP response body from
-// the result of the "patch_config" endpoint of the "admin" service.
-func NewPatchConfigUnauthorizedResponseBody(res *admin.Problem) *PatchConfigUnauthorizedResponseBody {
-	body := &PatchConfigUnauthorizedResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewPatchConfigUnavailableResponseBody builds the HTTP response body from the
-// result of the "patch_config" endpoint of the "admin" service.
-func NewPatchConfigUnavailableResponseBody(res *admin.Problem) *PatchConfigUnavailableResponseBody {
-	body := &PatchConfigUnavailableResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewPatchConfigUnknownResponseBody builds the HTTP response body from the
-// result of the "patch_config" endpoint of the "admin" service.
-func NewPatchConfigUnknownResponseBody(res *admin.Problem) *PatchConfigUnknownResponseBody {
-	body := &PatchConfigUnknownResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewConfigHistoryBadRequestResponseBody builds the HTTP response body from
-// the result of the "config_history" endpoint of the "admin" service.
-func NewConfigHistoryBadRequestResponseBody(res *admin.Problem) *ConfigHistoryBadRequestResponseBody {
-	body := &ConfigHistoryBadRequestResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewConfigHistoryConflictResponseBody builds the HTTP response body from the
-// result of the "config_history" endpoint of the "admin" service.
-func NewConfigHistoryConflictResponseBody(res *admin.Problem) *ConfigHistoryConflictResponseBody {
-	body := &ConfigHistoryConflictResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewConfigHistoryNotFoundResponseBody builds the HTTP response body from the
-// result of the "config_history" endpoint of the "admin" service.
-func NewConfigHistoryNotFoundResponseBody(res *admin.Problem) *ConfigHistoryNotFoundResponseBody {
-	body := &ConfigHistoryNotFoundResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewConfigHistoryRefusedResponseBody builds the HTTP response body from the
-// result of the "config_history" endpoint of the "admin" service.
-func NewConfigHistoryRefusedResponseBody(res *admin.Problem) *ConfigHistoryRefusedResponseBody {
-	body := &ConfigHistoryRefusedResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewConfigHistoryUnauthorizedResponseBody builds the HTTP response body from
-// the result of the "config_history" endpoint of the "admin" service.
-func NewConfigHistoryUnauthorizedResponseBody(res *admin.Problem) *ConfigHistoryUnauthorizedResponseBody {
-	body := &ConfigHistoryUnauthorizedResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewConfigHistoryUnavailableResponseBody builds the HTTP response body from
-// the result of the "config_history" endpoint of the "admin" service.
-func NewConfigHistoryUnavailableResponseBody(res *admin.Problem) *ConfigHistoryUnavailableResponseBody {
-	body := &ConfigHistoryUnavailableResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewConfigHistoryUnknownResponseBody builds the HTTP response body from the
-// result of the "config_history" endpoint of the "admin" service.
-func NewConfigHistoryUnknownResponseBody(res *admin.Problem) *ConfigHistoryUnknownResponseBody {
-	body := &ConfigHistoryUnknownResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewVerdictBadRequestResponseBody builds the HTTP response body from the
-// result of the "verdict" endpoint of the "admin" service.
-func NewVerdictBadRequestResponseBody(res *admin.Problem) *VerdictBadRequestResponseBody {
-	body := &VerdictBadRequestResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewVerdictConflictResponseBody builds the HTTP response body from the result
-// of the "verdict" endpoint of the "admin" service.
-func NewVerdictConflictResponseBody(res *admin.Problem) *VerdictConflictResponseBody {
-	body := &VerdictConflictResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewVerdictNotFoundResponseBody builds the HTTP response body from the result
-// of the "verdict" endpoint of the "admin" service.
-func NewVerdictNotFoundResponseBody(res *admin.Problem) *VerdictNotFoundResponseBody {
-	body := &VerdictNotFoundResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewVerdictRefusedResponseBody builds the HTTP response body from the result
-// of the "verdict" endpoint of the "admin" service.
-func NewVerdictRefusedResponseBody(res *admin.Problem) *VerdictRefusedResponseBody {
-	body := &VerdictRefusedResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewVerdictUnauthorizedResponseBody builds the HTTP response body from the
-// result of the "verdict" endpoint of the "admin" service.
-func NewVerdictUnauthorizedResponseBody(res *admin.Problem) *VerdictUnauthorizedResponseBody {
-	body := &VerdictUnauthorizedResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewVerdictUnavailableResponseBody builds the HTTP response body from the
-// result of the "verdict" endpoint of the "admin" service.
-func NewVerdictUnavailableResponseBody(res *admin.Problem) *VerdictUnavailableResponseBody {
-	body := &VerdictUnavailableResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewVerdictUnknownResponseBody builds the HTTP response body from the result
-// of the "verdict" endpoint of the "admin" service.
-func NewVerdictUnknownResponseBody(res *admin.Problem) *VerdictUnknownResponseBody {
-	body := &VerdictUnknownResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewIssueKeyBadRequestResponseBody builds the HTTP response body from the
-// result of the "issue_key" endpoint of the "admin" service.
-func NewIssueKeyBadRequestResponseBody(res *admin.Problem) *IssueKeyBadRequestResponseBody {
-	body := &IssueKeyBadRequestResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewIssueKeyConflictResponseBody builds the HTTP response body from the
-// result of the "issue_key" endpoint of the "admin" service.
-func NewIssueKeyConflictResponseBody(res *admin.Problem) *IssueKeyConflictResponseBody {
-	body := &IssueKeyConflictResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewIssueKeyNotFoundResponseBody builds the HTTP response body from the
-// result of the "issue_key" endpoint of the "admin" service.
-func NewIssueKeyNotFoundResponseBody(res *admin.Problem) *IssueKeyNotFoundResponseBody {
-	body := &IssueKeyNotFoundResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewIssueKeyRefusedResponseBody builds the HTTP response body from the result
-// of the "issue_key" endpoint of the "admin" service.
-func NewIssueKeyRefusedResponseBody(res *admin.Problem) *IssueKeyRefusedResponseBody {
-	body := &IssueKeyRefusedResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewIssueKeyUnauthorizedResponseBody builds the HTTP response body from the
-// result of the "issue_key" endpoint of the "admin" service.
-func NewIssueKeyUnauthorizedResponseBody(res *admin.Problem) *IssueKeyUnauthorizedResponseBody {
-	body := &IssueKeyUnauthorizedResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewIssueKeyUnavailableResponseBody builds the HTTP response body from the
-// result of the "issue_key" endpoint of the "admin" service.
-func NewIssueKeyUnavailableResponseBody(res *admin.Problem) *IssueKeyUnavailableResponseBody {
-	body := &IssueKeyUnavailableResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewIssueKeyUnknownResponseBody builds the HTTP response body from the result
-// of the "issue_key" endpoint of the "admin" service.
-func NewIssueKeyUnknownResponseBody(res *admin.Problem) *IssueKeyUnknownResponseBody {
-	body := &IssueKeyUnknownResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewWithdrawKeyBadRequestResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "admin" service.
-func NewWithdrawKeyBadRequestResponseBody(res *admin.Problem) *WithdrawKeyBadRequestResponseBody {
-	body := &WithdrawKeyBadRequestResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewWithdrawKeyConflictResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "admin" service.
-func NewWithdrawKeyConflictResponseBody(res *admin.Problem) *WithdrawKeyConflictResponseBody {
-	body := &WithdrawKeyConflictResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewWithdrawKeyNotFoundResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "admin" service.
-func NewWithdrawKeyNotFoundResponseBody(res *admin.Problem) *WithdrawKeyNotFoundResponseBody {
-	body := &WithdrawKeyNotFoundResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewWithdrawKeyRefusedResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "admin" service.
-func NewWithdrawKeyRefusedResponseBody(res *admin.Problem) *WithdrawKeyRefusedResponseBody {
-	body := &WithdrawKeyRefusedResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewWithdrawKeyUnauthorizedResponseBody builds the HTTP response body from
-// the result of the "withdraw_key" endpoint of the "admin" service.
-func NewWithdrawKeyUnauthorizedResponseBody(res *admin.Problem) *WithdrawKeyUnauthorizedResponseBody {
-	body := &WithdrawKeyUnauthorizedResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewWithdrawKeyUnavailableResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "admin" service.
-func NewWithdrawKeyUnavailableResponseBody(res *admin.Problem) *WithdrawKeyUnavailableResponseBody {
-	body := &WithdrawKeyUnavailableResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewWithdrawKeyUnknownResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "admin" service.
-func NewWithdrawKeyUnknownResponseBody(res *admin.Problem) *WithdrawKeyUnknownResponseBody {
-	body := &WithdrawKeyUnknownResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewListKeysBadRequestResponseBody builds the HTTP response body from the
-// result of the "list_keys" endpoint of the "admin" service.
-func NewListKeysBadRequestResponseBody(res *admin.Problem) *ListKeysBadRequestResponseBody {
-	body := &ListKeysBadRequestResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewListKeysConflictResponseBody builds the HTTP response body from the
-// result of the "list_keys" endpoint of the "admin" service.
-func NewListKeysConflictResponseBody(res *admin.Problem) *ListKeysConflictResponseBody {
-	body := &ListKeysConflictResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewListKeysNotFoundResponseBody builds the HTTP response body from the
-// result of the "list_keys" endpoint of the "admin" service.
-func NewListKeysNotFoundResponseBody(res *admin.Problem) *ListKeysNotFoundResponseBody {
-	body := &ListKeysNotFoundResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewListKeysRefusedResponseBody builds the HTTP response body from the result
-// of the "list_keys" endpoint of the "admin" service.
-func NewListKeysRefusedResponseBody(res *admin.Problem) *ListKeysRefusedResponseBody {
-	body := &ListKeysRefusedResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewListKeysUnauthorizedResponseBody builds the HTTP response body from the
-// result of the "list_keys" endpoint of the "admin" service.
-func NewListKeysUnauthorizedResponseBody(res *admin.Problem) *ListKeysUnauthorizedResponseBody {
-	body := &ListKeysUnauthorizedResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewListKeysUnavailableResponseBody builds the HTTP response body from the
-// result of the "list_keys" endpoint of the "admin" service.
-func NewListKeysUnavailableResponseBody(res *admin.Problem) *ListKeysUnavailableResponseBody {
-	body := &ListKeysUnavailableResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewListKeysUnknownResponseBody builds the HTTP response body from the result
-// of the "list_keys" endpoint of the "admin" service.
-func NewListKeysUnknownResponseBody(res *admin.Problem) *ListKeysUnknownResponseBody {
-	body := &ListKeysUnknownResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewListInstancesBadRequestResponseBody builds the HTTP response body from
-// the result of the "list_instances" endpoint of the "admin" service.
-func NewListInstancesBadRequestResponseBody(res *admin.Problem) *ListInstancesBadRequestResponseBody {
-	body := &ListInstancesBadRequestResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewListInstancesConflictResponseBody builds the HTTP response body from the
-// result of the "list_instances" endpoint of the "admin" service.
-func NewListInstancesConflictResponseBody(res *admin.Problem) *ListInstancesConflictResponseBody {
-	body := &ListInstancesConflictResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewListInstancesNotFoundResponseBody builds the HTTP response body from the
-// result of the "list_instances" endpoint of the "admin" service.
-func NewListInstancesNotFoundResponseBody(res *admin.Problem) *ListInstancesNotFoundResponseBody {
-	body := &ListInstancesNotFoundResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
+// NewGetConfigResponseBody builds the HTTP response body from the result of
+// the "get_config" endpoint of the "admin" service.
+func NewGetConfigResponseBody(res *admin.Config) *GetConfigResponseBody {
+	body := &GetConfigResponseBody{
+		Version:  res.Version,
+		Document: res.Document,
 	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
+	return body
+}
+
+// NewPatchConfigResponseBody builds the HTTP response body from the result of
+// the "patch_config" endpoint of the "admin" service.
+func NewPatchConfigResponseBody(res *admin.Config) *PatchConfigResponseBody {
+	body := &PatchConfigResponseBody{
+		Version:  res.Version,
+		Document: res.Document,
 	}
 	return body
 }
 
-// NewListInstancesRefusedResponseBody builds the HTTP response body from the
-// result of the "list_instances" endpoint of the "admin" service.
-func NewListInstancesRefusedResponseBody(res *admin.Problem) *ListInstancesRefusedResponseBody {
-	body := &ListInstancesRefusedResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
+// NewShowFleetResponseBody builds the HTTP response body from the result of
+// the "show_fleet" endpoint of the "admin" service.
+func NewShowFleetResponseBody(res *admin.FleetView) *ShowFleetResponseBody {
+	body := &ShowFleetResponseBody{
+		Owner: res.Owner,
+		Term:  res.Term,
 	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
+	if res.Workers != nil {
+		body.Workers = make([]*WorkerViewResponseBody, len(res.Workers))
+		for i, val := range res.Workers {
 			if val == nil {
-				body.Findings[i] = nil
+				body.Workers[i] = nil
 				continue
 			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
+			body.Workers[i] = marshalAdminWorkerViewToWorkerViewResponseBody(val)
 		}
+	} else {
+		body.Workers = []*WorkerViewResponseBody{}
 	}
-	return body
-}
-
-// NewListInstancesUnauthorizedResponseBody builds the HTTP response body from
-// the result of the "list_instances" endpoint of the "admin" service.
-func NewListInstancesUnauthorizedResponseBody(res *admin.Problem) *ListInstancesUnauthorizedResponseBody {
-	body := &ListInstancesUnauthorizedResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
+	if res.Waves != nil {
+		body.Waves = make([]*WaveViewResponseBody, len(res.Waves))
+		for i, val := range res.Waves {
 			if val == nil {
-				body.Findings[i] = nil
+				body.Waves[i] = nil
 				continue
 			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
+			body.Waves[i] = marshalAdminWaveViewToWaveViewResponseBody(val)
 		}
+	} else {
+		body.Waves = []*WaveViewResponseBody{}
 	}
 	return body
 }
 
-// NewListInstancesUnavailableResponseBody builds the HTTP response body from
-// the result of the "list_instances" endpoint of the "admin" service.
-func NewListInstancesUnavailableResponseBody(res *admin.Problem) *ListInstancesUnavailableResponseBody {
-	body := &ListInstancesUnavailableResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
-		}
+// NewStartWaveResponseBody builds the HTTP response body from the result of
+// the "start_wave" endpoint of the "admin" service.
+func NewStartWaveResponseBody(res *admin.WaveView) *StartWaveResponseBody {
+	body := &StartWaveResponseBody{
+		Number: res.Number,
+		Status: res.Status,
+		Total:  res.Total,
+		Begun:  res.Begun,
 	}
 	return body
 }
 
-// NewListInstancesUnknownResponseBody builds the HTTP response body from the
-// result of the "list_instances" endpoint of the "admin" service.
-func NewListInstancesUnknownResponseBody(res *admin.Problem) *ListInstancesUnknownResponseBody {
-	body := &ListInstancesUnknownResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
+// NewReportBurnResponseBody builds the HTTP response body from the result of
+// the "report_burn" endpoint of the "admin" service.
+func NewReportBurnResponseBody(res *admin.BurnReport) *ReportBurnResponseBody {
+	body := &ReportBurnResponseBody{
+		At: res.At,
 	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
+	if res.Members != nil {
+		body.Members = make([]string, len(res.Members))
+		for i, val := range res.Members {
+			body.Members[i] = val
+		}
+	} else {
+		body.Members = []string{}
+	}
+	if res.Objectives != nil {
+		body.Objectives = make([]*BurnObjectiveResponseBody, len(res.Objectives))
+		for i, val := range res.Objectives {
 			if val == nil {
-				body.Findings[i] = nil
+				body.Objectives[i] = nil
 				continue
 			}
-			body.Findings[i] = marshalAdminFindingToFindingResponseBody(val)
+			body.Objectives[i] = marshalAdminBurnObjectiveToBurnObjectiveResponseBody(val)
 		}
+	} else {
+		body.Objectives = []*BurnObjectiveResponseBody{}
 	}
 	return body
 }
 
-// NewListMembersBadRequestResponseBody builds the HTTP response body from the
-// result of the "list_members" endpoint of the "admin" service.
-func NewListMembersBadRequestResponseBody(res *admin.Problem) *ListMembersBadRequestResponseBody {
-	body := &ListMembersBadRequestResponseBody{
+// NewGetConfigBadRequestResponseBody builds the HTTP response body from the
+// result of the "get_config" endpoint of the "admin" service.
+func NewGetConfigBadRequestResponseBody(res *admin.Problem) *GetConfigBadRequestResponseBody {
+	body := &GetConfigBadRequestResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4376,7 +1132,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4392,10 +1148,10 @@
 	return body
 }
 
-// NewListMembersConflictResponseBody builds the HTTP response body from the
-// result of the "list_members" endpoint of the "admin" service.
-func NewListMembersConflictResponseBody(res *admin.Problem) *ListMembersConflictResponseBody {
-	body := &ListMembersConflictResponseBody{
+// NewGetConfigConflictResponseBody builds the HTTP response body from the
+// result of the "get_config" endpoint of the "admin" service.
+func NewGetConfigConflictResponseBody(res *admin.Problem) *GetConfigConflictResponseBody {
+	body := &GetConfigConflictResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4403,7 +1159,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4419,10 +1175,10 @@
 	return body
 }
 
-// NewListMembersNotFoundResponseBody builds the HTTP response body from the
-// result of the "list_members" endpoint of the "admin" service.
-func NewListMembersNotFoundResponseBody(res *admin.Problem) *ListMembersNotFoundResponseBody {
-	body := &ListMembersNotFoundResponseBody{
+// NewGetConfigNotFoundResponseBody builds the HTTP response body from the
+// result of the "get_config" endpoint of the "admin" service.
+func NewGetConfigNotFoundResponseBody(res *admin.Problem) *GetConfigNotFoundResponseBody {
+	body := &GetConfigNotFoundResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4430,7 +1186,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4446,10 +1202,10 @@
 	return body
 }
 
-// NewListMembersRefusedResponseBody builds the HTTP response body from the
-// result of the "list_members" endpoint of the "admin" service.
-func NewListMembersRefusedResponseBody(res *admin.Problem) *ListMembersRefusedResponseBody {
-	body := &ListMembersRefusedResponseBody{
+// NewGetConfigRefusedResponseBody builds the HTTP response body from the
+// result of the "get_config" endpoint of the "admin" service.
+func NewGetConfigRefusedResponseBody(res *admin.Problem) *GetConfigRefusedResponseBody {
+	body := &GetConfigRefusedResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4457,7 +1213,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4473,10 +1229,10 @@
 	return body
 }
 
-// NewListMembersUnauthorizedResponseBody builds the HTTP response body from
-// the result of the "list_members" endpoint of the "admin" service.
-func NewListMembersUnauthorizedResponseBody(res *admin.Problem) *ListMembersUnauthorizedResponseBody {
-	body := &ListMembersUnauthorizedResponseBody{
+// NewGetConfigUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "get_config" endpoint of the "admin" service.
+func NewGetConfigUnauthorizedResponseBody(res *admin.Problem) *GetConfigUnauthorizedResponseBody {
+	body := &GetConfigUnauthorizedResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4484,7 +1240,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4500,10 +1256,10 @@
 	return body
 }
 
-// NewListMembersUnavailableResponseBody builds the HTTP response body from the
-// result of the "list_members" endpoint of the "admin" service.
-func NewListMembersUnavailableResponseBody(res *admin.Problem) *ListMembersUnavailableResponseBody {
-	body := &ListMembersUnavailableResponseBody{
+// NewGetConfigUnavailableResponseBody builds the HTTP response body from the
+// result of the "get_config" endpoint of the "admin" service.
+func NewGetConfigUnavailableResponseBody(res *admin.Problem) *GetConfigUnavailableResponseBody {
+	body := &GetConfigUnavailableResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4511,7 +1267,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4527,10 +1283,10 @@
 	return body
 }
 
-// NewListMembersUnknownResponseBody builds the HTTP response body from the
-// result of the "list_members" endpoint of the "admin" service.
-func NewListMembersUnknownResponseBody(res *admin.Problem) *ListMembersUnknownResponseBody {
-	body := &ListMembersUnknownResponseBody{
+// NewGetConfigUnknownResponseBody builds the HTTP response body from the
+// result of the "get_config" endpoint of the "admin" service.
+func NewGetConfigUnknownResponseBody(res *admin.Problem) *GetConfigUnknownResponseBody {
+	body := &GetConfigUnknownResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4538,7 +1294,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4554,10 +1310,10 @@
 	return body
 }
 
-// NewStartWaveBadRequestResponseBody builds the HTTP response body from the
-// result of the "start_wave" endpoint of the "admin" service.
-func NewStartWaveBadRequestResponseBody(res *admin.Problem) *StartWaveBadRequestResponseBody {
-	body := &StartWaveBadRequestResponseBody{
+// NewPatchConfigBadRequestResponseBody builds the HTTP response body from the
+// result of the "patch_config" endpoint of the "admin" service.
+func NewPatchConfigBadRequestResponseBody(res *admin.Problem) *PatchConfigBadRequestResponseBody {
+	body := &PatchConfigBadRequestResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4565,7 +1321,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4581,10 +1337,10 @@
 	return body
 }
 
-// NewStartWaveConflictResponseBody builds the HTTP response body from the
-// result of the "start_wave" endpoint of the "admin" service.
-func NewStartWaveConflictResponseBody(res *admin.Problem) *StartWaveConflictResponseBody {
-	body := &StartWaveConflictResponseBody{
+// NewPatchConfigConflictResponseBody builds the HTTP response body from the
+// result of the "patch_config" endpoint of the "admin" service.
+func NewPatchConfigConflictResponseBody(res *admin.Problem) *PatchConfigConflictResponseBody {
+	body := &PatchConfigConflictResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4592,7 +1348,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4608,10 +1364,10 @@
 	return body
 }
 
-// NewStartWaveNotFoundResponseBody builds the HTTP response body from the
-// result of the "start_wave" endpoint of the "admin" service.
-func NewStartWaveNotFoundResponseBody(res *admin.Problem) *StartWaveNotFoundResponseBody {
-	body := &StartWaveNotFoundResponseBody{
+// NewPatchConfigNotFoundResponseBody builds the HTTP response body from the
+// result of the "patch_config" endpoint of the "admin" service.
+func NewPatchConfigNotFoundResponseBody(res *admin.Problem) *PatchConfigNotFoundResponseBody {
+	body := &PatchConfigNotFoundResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4619,7 +1375,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4635,10 +1391,10 @@
 	return body
 }
 
-// NewStartWaveRefusedResponseBody builds the HTTP response body from the
-// result of the "start_wave" endpoint of the "admin" service.
-func NewStartWaveRefusedResponseBody(res *admin.Problem) *StartWaveRefusedResponseBody {
-	body := &StartWaveRefusedResponseBody{
+// NewPatchConfigRefusedResponseBody builds the HTTP response body from the
+// result of the "patch_config" endpoint of the "admin" service.
+func NewPatchConfigRefusedResponseBody(res *admin.Problem) *PatchConfigRefusedResponseBody {
+	body := &PatchConfigRefusedResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4646,7 +1402,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4662,10 +1418,10 @@
 	return body
 }
 
-// NewStartWaveUnauthorizedResponseBody builds the HTTP response body from the
-// result of the "start_wave" endpoint of the "admin" service.
-func NewStartWaveUnauthorizedResponseBody(res *admin.Problem) *StartWaveUnauthorizedResponseBody {
-	body := &StartWaveUnauthorizedResponseBody{
+// NewPatchConfigUnauthorizedResponseBody builds the HTTP response body from
+// the result of the "patch_config" endpoint of the "admin" service.
+func NewPatchConfigUnauthorizedResponseBody(res *admin.Problem) *PatchConfigUnauthorizedResponseBody {
+	body := &PatchConfigUnauthorizedResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4673,7 +1429,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4689,10 +1445,10 @@
 	return body
 }
 
-// NewStartWaveUnavailableResponseBody builds the HTTP response body from the
-// result of the "start_wave" endpoint of the "admin" service.
-func NewStartWaveUnavailableResponseBody(res *admin.Problem) *StartWaveUnavailableResponseBody {
-	body := &StartWaveUnavailableResponseBody{
+// NewPatchConfigUnavailableResponseBody builds the HTTP response body from the
+// result of the "patch_config" endpoint of the "admin" service.
+func NewPatchConfigUnavailableResponseBody(res *admin.Problem) *PatchConfigUnavailableResponseBody {
+	body := &PatchConfigUnavailableResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4700,7 +1456,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4716,10 +1472,10 @@
 	return body
 }
 
-// NewStartWaveUnknownResponseBody builds the HTTP response body from the
-// result of the "start_wave" endpoint of the "admin" service.
-func NewStartWaveUnknownResponseBody(res *admin.Problem) *StartWaveUnknownResponseBody {
-	body := &StartWaveUnknownResponseBody{
+// NewPatchConfigUnknownResponseBody builds the HTTP response body from the
+// result of the "patch_config" endpoint of the "admin" service.
+func NewPatchConfigUnknownResponseBody(res *admin.Problem) *PatchConfigUnknownResponseBody {
+	body := &PatchConfigUnknownResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4727,7 +1483,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4743,10 +1499,10 @@
 	return body
 }
 
-// NewListWavesBadRequestResponseBody builds the HTTP response body from the
-// result of the "list_waves" endpoint of the "admin" service.
-func NewListWavesBadRequestResponseBody(res *admin.Problem) *ListWavesBadRequestResponseBody {
-	body := &ListWavesBadRequestResponseBody{
+// NewShowFleetBadRequestResponseBody builds the HTTP response body from the
+// result of the "show_fleet" endpoint of the "admin" service.
+func NewShowFleetBadRequestResponseBody(res *admin.Problem) *ShowFleetBadRequestResponseBody {
+	body := &ShowFleetBadRequestResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4754,7 +1510,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4770,10 +1526,10 @@
 	return body
 }
 
-// NewListWavesConflictResponseBody builds the HTTP response body from the
-// result of the "list_waves" endpoint of the "admin" service.
-func NewListWavesConflictResponseBody(res *admin.Problem) *ListWavesConflictResponseBody {
-	body := &ListWavesConflictResponseBody{
+// NewShowFleetConflictResponseBody builds the HTTP response body from the
+// result of the "show_fleet" endpoint of the "admin" service.
+func NewShowFleetConflictResponseBody(res *admin.Problem) *ShowFleetConflictResponseBody {
+	body := &ShowFleetConflictResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4781,7 +1537,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4797,10 +1553,10 @@
 	return body
 }
 
-// NewListWavesNotFoundResponseBody builds the HTTP response body from the
-// result of the "list_waves" endpoint of the "admin" service.
-func NewListWavesNotFoundResponseBody(res *admin.Problem) *ListWavesNotFoundResponseBody {
-	body := &ListWavesNotFoundResponseBody{
+// NewShowFleetNotFoundResponseBody builds the HTTP response body from the
+// result of the "show_fleet" endpoint of the "admin" service.
+func NewShowFleetNotFoundResponseBody(res *admin.Problem) *ShowFleetNotFoundResponseBody {
+	body := &ShowFleetNotFoundResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4808,7 +1564,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4824,10 +1580,10 @@
 	return body
 }
 
-// NewListWavesRefusedResponseBody builds the HTTP response body from the
-// result of the "list_waves" endpoint of the "admin" service.
-func NewListWavesRefusedResponseBody(res *admin.Problem) *ListWavesRefusedResponseBody {
-	body := &ListWavesRefusedResponseBody{
+// NewShowFleetRefusedResponseBody builds the HTTP response body from the
+// result of the "show_fleet" endpoint of the "admin" service.
+func NewShowFleetRefusedResponseBody(res *admin.Problem) *ShowFleetRefusedResponseBody {
+	body := &ShowFleetRefusedResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4835,7 +1591,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4851,10 +1607,10 @@
 	return body
 }
 
-// NewListWavesUnauthorizedResponseBody builds the HTTP response body from the
-// result of the "list_waves" endpoint of the "admin" service.
-func NewListWavesUnauthorizedResponseBody(res *admin.Problem) *ListWavesUnauthorizedResponseBody {
-	body := &ListWavesUnauthorizedResponseBody{
+// NewShowFleetUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "show_fleet" endpoint of the "admin" service.
+func NewShowFleetUnauthorizedResponseBody(res *admin.Problem) *ShowFleetUnauthorizedResponseBody {
+	body := &ShowFleetUnauthorizedResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4862,7 +1618,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4878,10 +1634,10 @@
 	return body
 }
 
-// NewListWavesUnavailableResponseBody builds the HTTP response body from the
-// result of the "list_waves" endpoint of the "admin" service.
-func NewListWavesUnavailableResponseBody(res *admin.Problem) *ListWavesUnavailableResponseBody {
-	body := &ListWavesUnavailableResponseBody{
+// NewShowFleetUnavailableResponseBody builds the HTTP response body from the
+// result of the "show_fleet" endpoint of the "admin" service.
+func NewShowFleetUnavailableResponseBody(res *admin.Problem) *ShowFleetUnavailableResponseBody {
+	body := &ShowFleetUnavailableResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4889,7 +1645,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4905,10 +1661,10 @@
 	return body
 }
 
-// NewListWavesUnknownResponseBody builds the HTTP response body from the
-// result of the "list_waves" endpoint of the "admin" service.
-func NewListWavesUnknownResponseBody(res *admin.Problem) *ListWavesUnknownResponseBody {
-	body := &ListWavesUnknownResponseBody{
+// NewShowFleetUnknownResponseBody builds the HTTP response body from the
+// result of the "show_fleet" endpoint of the "admin" service.
+func NewShowFleetUnknownResponseBody(res *admin.Problem) *ShowFleetUnknownResponseBody {
+	body := &ShowFleetUnknownResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4916,7 +1672,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4932,10 +1688,10 @@
 	return body
 }
 
-// NewChangeWaveBadRequestResponseBody builds the HTTP response body from the
-// result of the "change_wave" endpoint of the "admin" service.
-func NewChangeWaveBadRequestResponseBody(res *admin.Problem) *ChangeWaveBadRequestResponseBody {
-	body := &ChangeWaveBadRequestResponseBody{
+// NewStartWaveBadRequestResponseBody builds the HTTP response body from the
+// result of the "start_wave" endpoint of the "admin" service.
+func NewStartWaveBadRequestResponseBody(res *admin.Problem) *StartWaveBadRequestResponseBody {
+	body := &StartWaveBadRequestResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4943,7 +1699,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4959,10 +1715,10 @@
 	return body
 }
 
-// NewChangeWaveConflictResponseBody builds the HTTP response body from the
-// result of the "change_wave" endpoint of the "admin" service.
-func NewChangeWaveConflictResponseBody(res *admin.Problem) *ChangeWaveConflictResponseBody {
-	body := &ChangeWaveConflictResponseBody{
+// NewStartWaveConflictResponseBody builds the HTTP response body from the
+// result of the "start_wave" endpoint of the "admin" service.
+func NewStartWaveConflictResponseBody(res *admin.Problem) *StartWaveConflictResponseBody {
+	body := &StartWaveConflictResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4970,7 +1726,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -4986,10 +1742,10 @@
 	return body
 }
 
-// NewChangeWaveNotFoundResponseBody builds the HTTP response body from the
-// result of the "change_wave" endpoint of the "admin" service.
-func NewChangeWaveNotFoundResponseBody(res *admin.Problem) *ChangeWaveNotFoundResponseBody {
-	body := &ChangeWaveNotFoundResponseBody{
+// NewStartWaveNotFoundResponseBody builds the HTTP response body from the
+// result of the "start_wave" endpoint of the "admin" service.
+func NewStartWaveNotFoundResponseBody(res *admin.Problem) *StartWaveNotFoundResponseBody {
+	body := &StartWaveNotFoundResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -4997,7 +1753,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -5013,10 +1769,10 @@
 	return body
 }
 
-// NewChangeWaveRefusedResponseBody builds the HTTP response body from the
-// result of the "change_wave" endpoint of the "admin" service.
-func NewChangeWaveRefusedResponseBody(res *admin.Problem) *ChangeWaveRefusedResponseBody {
-	body := &ChangeWaveRefusedResponseBody{
+// NewStartWaveRefusedResponseBody builds the HTTP response body from the
+// result of the "start_wave" endpoint of the "admin" service.
+func NewStartWaveRefusedResponseBody(res *admin.Problem) *StartWaveRefusedResponseBody {
+	body := &StartWaveRefusedResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -5024,7 +1780,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -5040,10 +1796,10 @@
 	return body
 }
 
-// NewChangeWaveUnauthorizedResponseBody builds the HTTP response body from the
-// result of the "change_wave" endpoint of the "admin" service.
-func NewChangeWaveUnauthorizedResponseBody(res *admin.Problem) *ChangeWaveUnauthorizedResponseBody {
-	body := &ChangeWaveUnauthorizedResponseBody{
+// NewStartWaveUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "start_wave" endpoint of the "admin" service.
+func NewStartWaveUnauthorizedResponseBody(res *admin.Problem) *StartWaveUnauthorizedResponseBody {
+	body := &StartWaveUnauthorizedResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -5051,7 +1807,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -5067,10 +1823,10 @@
 	return body
 }
 
-// NewChangeWaveUnavailableResponseBody builds the HTTP response body from the
-// result of the "change_wave" endpoint of the "admin" service.
-func NewChangeWaveUnavailableResponseBody(res *admin.Problem) *ChangeWaveUnavailableResponseBody {
-	body := &ChangeWaveUnavailableResponseBody{
+// NewStartWaveUnavailableResponseBody builds the HTTP response body from the
+// result of the "start_wave" endpoint of the "admin" service.
+func NewStartWaveUnavailableResponseBody(res *admin.Problem) *StartWaveUnavailableResponseBody {
+	body := &StartWaveUnavailableResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -5078,7 +1834,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -5094,10 +1850,10 @@
 	return body
 }
 
-// NewChangeWaveUnknownResponseBody builds the HTTP response body from the
-// result of the "change_wave" endpoint of the "admin" service.
-func NewChangeWaveUnknownResponseBody(res *admin.Problem) *ChangeWaveUnknownResponseBody {
-	body := &ChangeWaveUnknownResponseBody{
+// NewStartWaveUnknownResponseBody builds the HTTP response body from the
+// result of the "start_wave" endpoint of the "admin" service.
+func NewStartWaveUnknownResponseBody(res *admin.Problem) *StartWaveUnknownResponseBody {
+	body := &StartWaveUnknownResponseBody{
 		Name:           res.Name,
 		Type:           res.Type,
 		Title:          res.Title,
@@ -5105,7 +1861,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -5132,7 +1888,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -5159,7 +1915,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -5186,7 +1942,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -5213,7 +1969,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -5240,7 +1996,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -5267,7 +2023,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -5294,7 +2050,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -5319,133 +2075,45 @@
 }
 
 // NewPatchConfigPayload builds a admin service patch_config endpoint payload.
-func NewPatchConfigPayload(wait bool, authorization *string, recordID *string, ifMatch *string, contentType *string) *admin.PatchConfigPayload {
+func NewPatchConfigPayload(authorization *string, ifMatch string, contentType *string) *admin.PatchConfigPayload {
 	v := &admin.PatchConfigPayload{}
-	v.Wait = wait
 	v.Authorization = authorization
-	v.RecordID = recordID
 	v.IfMatch = ifMatch
 	v.ContentType = contentType
 
 	return v
 }
 
-// NewConfigHistoryPayload builds a admin service config_history endpoint
-// payload.
-func NewConfigHistoryPayload(authorization *string) *admin.ConfigHistoryPayload {
-	v := &admin.ConfigHistoryPayload{}
-	v.Authorization = authorization
-
-	return v
-}
-
-// NewVerdictPayload builds a admin service verdict endpoint payload.
-func NewVerdictPayload(id string, authorization *string) *admin.VerdictPayload {
-	v := &admin.VerdictPayload{}
-	v.ID = id
-	v.Authorization = authorization
-
-	return v
-}
-
-// NewIssueKeyPayload builds a admin service issue_key endpoint payload.
-func NewIssueKeyPayload(body *IssueKeyRequestBody, authorization *string, recordID *string) *admin.IssueKeyPayload {
-	v := &admin.IssueKeyPayload{
-		Team: *body.Team,
-	}
-	v.Authorization = authorization
-	v.RecordID = recordID
-
-	return v
-}
-
-// NewWithdrawKeyPayload builds a admin service withdraw_key endpoint payload.
-func NewWithdrawKeyPayload(keyID string, wait bool, authorization *string, recordID *string) *admin.WithdrawKeyPayload {
-	v := &admin.WithdrawKeyPayload{}
-	v.KeyID = keyID
-	v.Wait = wait
-	v.Authorization = authorization
-	v.RecordID = recordID
-
-	return v
-}
-
-// NewListKeysPayload builds a admin service list_keys endpoint payload.
-func NewListKeysPayload(authorization *string) *admin.ListKeysPayload {
-	v := &admin.ListKeysPayload{}
-	v.Authorization = authorization
-
-	return v
-}
-
-// NewListInstancesPayload builds a admin service list_instances endpoint
-// payload.
-func NewListInstancesPayload(authorization *string) *admin.ListInstancesPayload {
-	v := &admin.ListInstancesPayload{}
-	v.Authorization = authorization
-
-	return v
-}
-
-// NewListMembersPayload builds a admin service list_members endpoint payload.
-func NewListMembersPayload(authorization *string) *admin.ListMembersPayload {
-	v := &admin.ListMembersPayload{}
+// NewShowFleetPayload builds a admin service show_fleet endpoint payload.
+func NewShowFleetPayload(authorization *string) *admin.ShowFleetPayload {
+	v := &admin.ShowFleetPayload{}
 	v.Authorization = authorization
 
 	return v
 }
 
 // NewStartWavePayload builds a admin service start_wave endpoint payload.
-func NewStartWavePayload(body *StartWaveRequestBody, authorization *string, recordID *string) *admin.StartWavePayload {
+func NewStartWavePayload(body *StartWaveRequestBody, authorization *string) *admin.StartWavePayload {
 	v := &admin.StartWavePayload{
-		Wave:   *body.Wave,
-		Action: *body.Action,
-		To:     body.To,
+		Number: *body.Number,
 	}
-	if body.MaxParallel != nil {
-		v.MaxParallel = *body.MaxParallel
+	if body.AtOnce != nil {
+		v.AtOnce = *body.AtOnce
 	}
-	if body.DryRun != nil {
-		v.DryRun = *body.DryRun
+	if body.DeadlineS != nil {
+		v.DeadlineS = *body.DeadlineS
 	}
-	v.Pools = make([]string, len(body.Pools))
-	for i, val := range body.Pools {
-		v.Pools[i] = val
-	}
-	if body.Instances != nil {
-		v.Instances = make([]string, len(body.Instances))
-		for i, val := range body.Instances {
-			v.Instances[i] = val
-		}
+	v.Instances = make([]string, len(body.Instances))
+	for i, val := range body.Instances {
+		v.Instances[i] = val
 	}
-	if body.MaxParallel == nil {
-		v.MaxParallel = 0
+	if body.AtOnce == nil {
+		v.AtOnce = 1
 	}
-	if body.DryRun == nil {
-		v.DryRun = false
+	if body.DeadlineS == nil {
+		v.DeadlineS = 0
 	}
 	v.Authorization = authorization
-	v.RecordID = recordID
-
-	return v
-}
-
-// NewListWavesPayload builds a admin service list_waves endpoint payload.
-func NewListWavesPayload(authorization *string) *admin.ListWavesPayload {
-	v := &admin.ListWavesPayload{}
-	v.Authorization = authorization
-
-	return v
-}
-
-// NewChangeWavePayload builds a admin service change_wave endpoint payload.
-func NewChangeWavePayload(wave string, change string, reason *string, authorization *string, recordID *string) *admin.ChangeWavePayload {
-	v := &admin.ChangeWavePayload{}
-	v.Wave = wave
-	v.Change = change
-	v.Reason = reason
-	v.Authorization = authorization
-	v.RecordID = recordID
 
 	return v
 }
@@ -5458,30 +2126,26 @@
 	return v
 }
 
-// ValidateIssueKeyRequestBody runs the validations defined on
-// issue_key_request_body
-func ValidateIssueKeyRequestBody(body *IssueKeyRequestBody) (err error) {
-	if body.Team == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("team", "body"))
-	}
-	return
-}
-
 // ValidateStartWaveRequestBody runs the validations defined on
 // start_wave_request_body
 func ValidateStartWaveRequestBody(body *StartWaveRequestBody) (err error) {
-	if body.Wave == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("wave", "body"))
+	if body.Number == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("number", "body"))
 	}
-	if body.Action == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("action", "body"))
+	if body.Instances == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("instances", "body"))
+	}
+	if body.Number != nil {
+		if *body.Number < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.number", *body.Number, 1, true))
+		}
 	}
-	if body.Pools == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("pools", "body"))
+	if len(body.Instances) < 1 {
+		err = goa.MergeErrors(err, goa.InvalidLengthError("body.instances", body.Instances, len(body.Instances), 1, true))
 	}
-	if body.Action != nil {
-		if !(*body.Action == "reboot" || *body.Action == "move") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.action", *body.Action, []any{"reboot", "move"}))
+	if body.AtOnce != nil {
+		if *body.AtOnce < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.at_once", *body.AtOnce, 1, true))
 		}
 	}
 	return
--- a/gen/http/health/client/encode_decode.go
+++ b/gen/http/health/client/encode_decode.go
@@ -13,9 +13,11 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 
 	health "github.com/pollenford/pollenford/gen/health"
 	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
 )
 
 // BuildLiveRequest instantiates a HTTP request object with method and path set
@@ -77,7 +79,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("health", "live", err)
 			}
-			return nil, NewLiveNotReady(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("health", "live", err)
+			}
+			return nil, NewLiveNotReady(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("health", "live", resp.StatusCode, string(body))
@@ -144,7 +163,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("health", "ready", err)
 			}
-			return nil, NewReadyNotReady(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("health", "ready", err)
+			}
+			return nil, NewReadyNotReady(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("health", "ready", resp.StatusCode, string(body))
--- a/gen/http/health/client/types.go
+++ b/gen/http/health/client/types.go
@@ -29,10 +29,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -54,10 +54,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -71,7 +71,7 @@
 }
 
 // NewLiveNotReady builds a health service live endpoint not_ready error.
-func NewLiveNotReady(body *LiveNotReadyResponseBody) *health.Problem {
+func NewLiveNotReady(body *LiveNotReadyResponseBody, retryAfter *int) *health.Problem {
 	v := &health.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -80,7 +80,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -93,12 +93,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToHealthFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewReadyNotReady builds a health service ready endpoint not_ready error.
-func NewReadyNotReady(body *ReadyNotReadyResponseBody) *health.Problem {
+func NewReadyNotReady(body *ReadyNotReadyResponseBody, retryAfter *int) *health.Problem {
 	v := &health.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -107,7 +108,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -120,6 +121,7 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToHealthFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
--- a/gen/http/health/server/encode_decode.go
+++ b/gen/http/health/server/encode_decode.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 
 	health "github.com/pollenford/pollenford/gen/health"
 	goahttp "goa.design/goa/v3/http"
@@ -51,6 +52,11 @@
 			} else {
 				body = NewLiveNotReadyResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
@@ -94,6 +100,11 @@
 			} else {
 				body = NewReadyNotReadyResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
--- a/gen/http/health/server/types.go
+++ b/gen/http/health/server/types.go
@@ -28,10 +28,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -53,10 +53,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -80,7 +80,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -107,7 +107,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
--- a/gen/http/requests/client/cli.go
+++ b/gen/http/requests/client/cli.go
@@ -18,7 +18,7 @@
 
 // BuildSendPayload builds the payload for the requests send endpoint from CLI
 // flags.
-func BuildSendPayload(requestsSendQueue string, requestsSendAuthorization string, requestsSendIdempotencyKey string, requestsSendIdempotent string, requestsSendDeadlineMs string, requestsSendPriority string, requestsSendPreemptible string, requestsSendCores string, requestsSendMemoryGb string, requestsSendAccelerators string, requestsSendContentType string) (*requests.SendPayload, error) {
+func BuildSendPayload(requestsSendQueue string, requestsSendAuthorization string, requestsSendIdempotencyKey string, requestsSendIdempotent string, requestsSendResumable string, requestsSendDeadlineMs string, requestsSendEstimateMs string, requestsSendCores string, requestsSendMemoryMb string, requestsSendAccelerators string) (*requests.SendPayload, error) {
 	var err error
 	var queue string
 	{
@@ -51,74 +51,91 @@
 			}
 		}
 	}
-	var deadlineMs *int64
+	var resumable bool
 	{
-		if requestsSendDeadlineMs != "" {
-			val, err := strconv.ParseInt(requestsSendDeadlineMs, 10, 64)
-			deadlineMs = &val
+		if requestsSendResumable != "" {
+			resumable, err = strconv.ParseBool(requestsSendResumable)
 			if err != nil {
-				return nil, fmt.Errorf("invalid value for deadlineMs, must be INT64")
+				return nil, fmt.Errorf("invalid value for resumable, must be BOOL")
 			}
 		}
 	}
-	var priority string
+	var deadlineMs int64
 	{
-		if requestsSendPriority != "" {
-			priority = requestsSendPriority
-			if !(priority == "urgent" || priority == "normal") {
-				err = goa.MergeErrors(err, goa.InvalidEnumValueError("priority", priority, []any{"urgent", "normal"}))
+		if requestsSendDeadlineMs != "" {
+			deadlineMs, err = strconv.ParseInt(requestsSendDeadlineMs, 10, 64)
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for deadlineMs, must be INT64")
+			}
+			if deadlineMs < 1 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("deadline_ms", deadlineMs, 1, true))
+			}
+			if deadlineMs > 600000 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("deadline_ms", deadlineMs, 600000, false))
 			}
 			if err != nil {
 				return nil, err
 			}
 		}
 	}
-	var preemptible bool
+	var estimateMs int64
 	{
-		if requestsSendPreemptible != "" {
-			preemptible, err = strconv.ParseBool(requestsSendPreemptible)
+		if requestsSendEstimateMs != "" {
+			estimateMs, err = strconv.ParseInt(requestsSendEstimateMs, 10, 64)
 			if err != nil {
-				return nil, fmt.Errorf("invalid value for preemptible, must be BOOL")
+				return nil, fmt.Errorf("invalid value for estimateMs, must be INT64")
+			}
+			if estimateMs < 0 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("estimate_ms", estimateMs, 0, true))
+			}
+			if err != nil {
+				return nil, err
 			}
 		}
 	}
-	var cores int
+	var cores float64
 	{
 		if requestsSendCores != "" {
-			var v int64
-			v, err = strconv.ParseInt(requestsSendCores, 10, strconv.IntSize)
-			cores = int(v)
+			cores, err = strconv.ParseFloat(requestsSendCores, 64)
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for cores, must be FLOAT64")
+			}
+			if cores < 0 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("cores", cores, 0, true))
+			}
 			if err != nil {
-				return nil, fmt.Errorf("invalid value for cores, must be INT")
+				return nil, err
 			}
 		}
 	}
-	var memoryGb int
+	var memoryMb int64
 	{
-		if requestsSendMemoryGb != "" {
-			var v int64
-			v, err = strconv.ParseInt(requestsSendMemoryGb, 10, strconv.IntSize)
-			memoryGb = int(v)
+		if requestsSendMemoryMb != "" {
+			memoryMb, err = strconv.ParseInt(requestsSendMemoryMb, 10, 64)
 			if err != nil {
-				return nil, fmt.Errorf("invalid value for memoryGb, must be INT")
+				return nil, fmt.Errorf("invalid value for memoryMb, must be INT64")
+			}
+			if memoryMb < 0 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("memory_mb", memoryMb, 0, true))
+			}
+			if err != nil {
+				return nil, err
 			}
 		}
 	}
-	var accelerators int
+	var accelerators int64
 	{
 		if requestsSendAccelerators != "" {
-			var v int64
-			v, err = strconv.ParseInt(requestsSendAccelerators, 10, strconv.IntSize)
-			accelerators = int(v)
+			accelerators, err = strconv.ParseInt(requestsSendAccelerators, 10, 64)
 			if err != nil {
-				return nil, fmt.Errorf("invalid value for accelerators, must be INT")
+				return nil, fmt.Errorf("invalid value for accelerators, must be INT64")
+			}
+			if accelerators < 0 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("accelerators", accelerators, 0, true))
+			}
+			if err != nil {
+				return nil, err
 			}
-		}
-	}
-	var contentType *string
-	{
-		if requestsSendContentType != "" {
-			contentType = &requestsSendContentType
 		}
 	}
 	v := &requests.SendPayload{}
@@ -126,20 +143,19 @@
 	v.Authorization = authorization
 	v.IdempotencyKey = idempotencyKey
 	v.Idempotent = idempotent
+	v.Resumable = resumable
 	v.DeadlineMs = deadlineMs
-	v.Priority = priority
-	v.Preemptible = preemptible
+	v.EstimateMs = estimateMs
 	v.Cores = cores
-	v.MemoryGb = memoryGb
+	v.MemoryMb = memoryMb
 	v.Accelerators = accelerators
-	v.ContentType = contentType
 
 	return v, nil
 }
 
 // BuildSubmitPayload builds the payload for the requests submit endpoint from
 // CLI flags.
-func BuildSubmitPayload(requestsSubmitQueue string, requestsSubmitAuthorization string, requestsSubmitIdempotencyKey string, requestsSubmitIdempotent string, requestsSubmitDeadlineMs string, requestsSubmitPriority string, requestsSubmitPreemptible string, requestsSubmitCores string, requestsSubmitMemoryGb string, requestsSubmitAccelerators string, requestsSubmitContentType string) (*requests.SubmitPayload, error) {
+func BuildSubmitPayload(requestsSubmitQueue string, requestsSubmitAuthorization string, requestsSubmitIdempotencyKey string, requestsSubmitIdempotent string, requestsSubmitResumable string, requestsSubmitDeadlineMs string, requestsSubmitEstimateMs string, requestsSubmitCores string, requestsSubmitMemoryMb string, requestsSubmitAccelerators string) (*requests.SubmitPayload, error) {
 	var err error
 	var queue string
 	{
@@ -172,74 +188,91 @@
 			}
 		}
 	}
-	var deadlineMs *int64
+	var resumable bool
 	{
-		if requestsSubmitDeadlineMs != "" {
-			val, err := strconv.ParseInt(requestsSubmitDeadlineMs, 10, 64)
-			deadlineMs = &val
+		if requestsSubmitResumable != "" {
+			resumable, err = strconv.ParseBool(requestsSubmitResumable)
 			if err != nil {
-				return nil, fmt.Errorf("invalid value for deadlineMs, must be INT64")
+				return nil, fmt.Errorf("invalid value for resumable, must be BOOL")
 			}
 		}
 	}
-	var priority string
+	var deadlineMs int64
 	{
-		if requestsSubmitPriority != "" {
-			priority = requestsSubmitPriority
-			if !(priority == "urgent" || priority == "normal") {
-				err = goa.MergeErrors(err, goa.InvalidEnumValueError("priority", priority, []any{"urgent", "normal"}))
+		if requestsSubmitDeadlineMs != "" {
+			deadlineMs, err = strconv.ParseInt(requestsSubmitDeadlineMs, 10, 64)
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for deadlineMs, must be INT64")
+			}
+			if deadlineMs < 1 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("deadline_ms", deadlineMs, 1, true))
+			}
+			if deadlineMs > 600000 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("deadline_ms", deadlineMs, 600000, false))
 			}
 			if err != nil {
 				return nil, err
 			}
 		}
 	}
-	var preemptible bool
+	var estimateMs int64
 	{
-		if requestsSubmitPreemptible != "" {
-			preemptible, err = strconv.ParseBool(requestsSubmitPreemptible)
+		if requestsSubmitEstimateMs != "" {
+			estimateMs, err = strconv.ParseInt(requestsSubmitEstimateMs, 10, 64)
 			if err != nil {
-				return nil, fmt.Errorf("invalid value for preemptible, must be BOOL")
+				return nil, fmt.Errorf("invalid value for estimateMs, must be INT64")
+			}
+			if estimateMs < 0 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("estimate_ms", estimateMs, 0, true))
+			}
+			if err != nil {
+				return nil, err
 			}
 		}
 	}
-	var cores int
+	var cores float64
 	{
 		if requestsSubmitCores != "" {
-			var v int64
-			v, err = strconv.ParseInt(requestsSubmitCores, 10, strconv.IntSize)
-			cores = int(v)
+			cores, err = strconv.ParseFloat(requestsSubmitCores, 64)
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for cores, must be FLOAT64")
+			}
+			if cores < 0 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("cores", cores, 0, true))
+			}
 			if err != nil {
-				return nil, fmt.Errorf("invalid value for cores, must be INT")
+				return nil, err
 			}
 		}
 	}
-	var memoryGb int
+	var memoryMb int64
 	{
-		if requestsSubmitMemoryGb != "" {
-			var v int64
-			v, err = strconv.ParseInt(requestsSubmitMemoryGb, 10, strconv.IntSize)
-			memoryGb = int(v)
+		if requestsSubmitMemoryMb != "" {
+			memoryMb, err = strconv.ParseInt(requestsSubmitMemoryMb, 10, 64)
 			if err != nil {
-				return nil, fmt.Errorf("invalid value for memoryGb, must be INT")
+				return nil, fmt.Errorf("invalid value for memoryMb, must be INT64")
+			}
+			if memoryMb < 0 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("memory_mb", memoryMb, 0, true))
+			}
+			if err != nil {
+				return nil, err
 			}
 		}
 	}
-	var accelerators int
+	var accelerators int64
 	{
 		if requestsSubmitAccelerators != "" {
-			var v int64
-			v, err = strconv.ParseInt(requestsSubmitAccelerators, 10, strconv.IntSize)
-			accelerators = int(v)
+			accelerators, err = strconv.ParseInt(requestsSubmitAccelerators, 10, 64)
 			if err != nil {
-				return nil, fmt.Errorf("invalid value for accelerators, must be INT")
+				return nil, fmt.Errorf("invalid value for accelerators, must be INT64")
+			}
+			if accelerators < 0 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("accelerators", accelerators, 0, true))
+			}
+			if err != nil {
+				return nil, err
 			}
-		}
-	}
-	var contentType *string
-	{
-		if requestsSubmitContentType != "" {
-			contentType = &requestsSubmitContentType
 		}
 	}
 	v := &requests.SubmitPayload{}
@@ -247,13 +280,12 @@
 	v.Authorization = authorization
 	v.IdempotencyKey = idempotencyKey
 	v.Idempotent = idempotent
+	v.Resumable = resumable
 	v.DeadlineMs = deadlineMs
-	v.Priority = priority
-	v.Preemptible = preemptible
+	v.EstimateMs = estimateMs
 	v.Cores = cores
-	v.MemoryGb = memoryGb
+	v.MemoryMb = memoryMb
 	v.Accelerators = accelerators
-	v.ContentType = contentType
 
 	return v, nil
 }
