--- a/gen/http/requests/client/encode_decode.go
+++ b/gen/http/requests/client/encode_decode.go
@@ -71,39 +71,36 @@
 			headStr := strconv.FormatBool(head)
 			req.Header.Set("Pollenford-Idempotent", headStr)
 		}
-		if p.DeadlineMs != nil {
-			head := *p.DeadlineMs
-			headStr := strconv.FormatInt(head, 10)
-			req.Header.Set("Pollenford-Deadline-Ms", headStr)
+		{
+			head := p.Resumable
+			headStr := strconv.FormatBool(head)
+			req.Header.Set("Pollenford-Resumable", headStr)
 		}
 		{
-			head := p.Priority
-			req.Header.Set("Pollenford-Priority", head)
+			head := p.DeadlineMs
+			headStr := strconv.FormatInt(head, 10)
+			req.Header.Set("Pollenford-Deadline-Ms", headStr)
 		}
 		{
-			head := p.Preemptible
-			headStr := strconv.FormatBool(head)
-			req.Header.Set("Pollenford-Preemptible", headStr)
+			head := p.EstimateMs
+			headStr := strconv.FormatInt(head, 10)
+			req.Header.Set("Pollenford-Estimate-Ms", headStr)
 		}
 		{
 			head := p.Cores
-			headStr := strconv.Itoa(head)
+			headStr := strconv.FormatFloat(head, 'f', -1, 64)
 			req.Header.Set("Pollenford-Cores", headStr)
 		}
 		{
-			head := p.MemoryGb
-			headStr := strconv.Itoa(head)
-			req.Header.Set("Pollenford-Memory-Gb", headStr)
+			head := p.MemoryMb
+			headStr := strconv.FormatInt(head, 10)
+			req.Header.Set("Pollenford-Memory-Mb", headStr)
 		}
 		{
 			head := p.Accelerators
-			headStr := strconv.Itoa(head)
+			headStr := strconv.FormatInt(head, 10)
 			req.Header.Set("Pollenford-Accelerators", headStr)
 		}
-		if p.ContentType != nil {
-			head := *p.ContentType
-			req.Header.Set("Content-Type", head)
-		}
 		return nil
 	}
 }
@@ -116,7 +113,6 @@
 //   - "busy" (type *requests.Problem): http.StatusTooManyRequests
 //   - "conflict" (type *requests.Problem): http.StatusConflict
 //   - "failed" (type *requests.Problem): http.StatusBadGateway
-//   - "forbidden" (type *requests.Problem): http.StatusForbidden
 //   - "impossible" (type *requests.Problem): http.StatusUnprocessableEntity
 //   - "not_found" (type *requests.Problem): http.StatusNotFound
 //   - "timeout" (type *requests.Problem): http.StatusRequestTimeout
@@ -140,16 +136,16 @@
 		switch resp.StatusCode {
 		case http.StatusOK:
 			var (
-				requestID   string
+				jobID       string
 				contentType string
 				length      int64
 				err         error
 			)
-			requestIDRaw := resp.Header.Get("Pollenford-Request")
-			if requestIDRaw == "" {
-				err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "header"))
+			jobIDRaw := resp.Header.Get("Pollenford-Job")
+			if jobIDRaw == "" {
+				err = goa.MergeErrors(err, goa.MissingFieldError("job_id", "header"))
 			}
-			requestID = requestIDRaw
+			jobID = jobIDRaw
 			contentTypeRaw := resp.Header.Get("Content-Type")
 			if contentTypeRaw == "" {
 				err = goa.MergeErrors(err, goa.MissingFieldError("content_type", "header"))
@@ -169,7 +165,7 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "send", err)
 			}
-			res := NewSendAnswerOK(requestID, contentType, length)
+			res := NewSendAnswerOK(jobID, contentType, length)
 			return res, nil
 		case http.StatusBadRequest:
 			var (
@@ -184,7 +180,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "send", err)
 			}
-			return nil, NewSendBadRequest(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "send", err)
+			}
+			return nil, NewSendBadRequest(&body, retryAfter)
 		case http.StatusTooManyRequests:
 			var (
 				body SendBusyResponseBody
@@ -198,7 +211,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "send", err)
 			}
-			return nil, NewSendBusy(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "send", err)
+			}
+			return nil, NewSendBusy(&body, retryAfter)
 		case http.StatusConflict:
 			var (
 				body SendConflictResponseBody
@@ -212,7 +242,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "send", err)
 			}
-			return nil, NewSendConflict(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "send", err)
+			}
+			return nil, NewSendConflict(&body, retryAfter)
 		case http.StatusBadGateway:
 			var (
 				body SendFailedResponseBody
@@ -226,21 +273,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "send", err)
 			}
-			return nil, NewSendFailed(&body)
-		case http.StatusForbidden:
 			var (
-				body SendForbiddenResponseBody
-				err  error
+				retryAfter *int
 			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("requests", "send", err)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateSendForbiddenResponseBody(&body)
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "send", err)
 			}
-			return nil, NewSendForbidden(&body)
+			return nil, NewSendFailed(&body, retryAfter)
 		case http.StatusUnprocessableEntity:
 			var (
 				body SendImpossibleResponseBody
@@ -254,7 +304,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "send", err)
 			}
-			return nil, NewSendImpossible(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "send", err)
+			}
+			return nil, NewSendImpossible(&body, retryAfter)
 		case http.StatusNotFound:
 			var (
 				body SendNotFoundResponseBody
@@ -268,7 +335,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "send", err)
 			}
-			return nil, NewSendNotFound(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "send", err)
+			}
+			return nil, NewSendNotFound(&body, retryAfter)
 		case http.StatusRequestTimeout:
 			var (
 				body SendTimeoutResponseBody
@@ -282,7 +366,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "send", err)
 			}
-			return nil, NewSendTimeout(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "send", err)
+			}
+			return nil, NewSendTimeout(&body, retryAfter)
 		case http.StatusRequestEntityTooLarge:
 			var (
 				body SendTooLargeResponseBody
@@ -296,7 +397,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "send", err)
 			}
-			return nil, NewSendTooLarge(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "send", err)
+			}
+			return nil, NewSendTooLarge(&body, retryAfter)
 		case http.StatusUnauthorized:
 			var (
 				body SendUnauthorizedResponseBody
@@ -310,7 +428,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "send", err)
 			}
-			return nil, NewSendUnauthorized(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "send", err)
+			}
+			return nil, NewSendUnauthorized(&body, retryAfter)
 		case http.StatusServiceUnavailable:
 			var (
 				body SendUnavailableResponseBody
@@ -324,7 +459,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "send", err)
 			}
-			return nil, NewSendUnavailable(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "send", err)
+			}
+			return nil, NewSendUnavailable(&body, retryAfter)
 		case http.StatusGatewayTimeout:
 			var (
 				body SendUnknownResponseBody
@@ -338,7 +490,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "send", err)
 			}
-			return nil, NewSendUnknown(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "send", err)
+			}
+			return nil, NewSendUnknown(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("requests", "send", resp.StatusCode, string(body))
@@ -409,39 +578,36 @@
 			headStr := strconv.FormatBool(head)
 			req.Header.Set("Pollenford-Idempotent", headStr)
 		}
-		if p.DeadlineMs != nil {
-			head := *p.DeadlineMs
-			headStr := strconv.FormatInt(head, 10)
-			req.Header.Set("Pollenford-Deadline-Ms", headStr)
+		{
+			head := p.Resumable
+			headStr := strconv.FormatBool(head)
+			req.Header.Set("Pollenford-Resumable", headStr)
 		}
 		{
-			head := p.Priority
-			req.Header.Set("Pollenford-Priority", head)
+			head := p.DeadlineMs
+			headStr := strconv.FormatInt(head, 10)
+			req.Header.Set("Pollenford-Deadline-Ms", headStr)
 		}
 		{
-			head := p.Preemptible
-			headStr := strconv.FormatBool(head)
-			req.Header.Set("Pollenford-Preemptible", headStr)
+			head := p.EstimateMs
+			headStr := strconv.FormatInt(head, 10)
+			req.Header.Set("Pollenford-Estimate-Ms", headStr)
 		}
 		{
 			head := p.Cores
-			headStr := strconv.Itoa(head)
+			headStr := strconv.FormatFloat(head, 'f', -1, 64)
 			req.Header.Set("Pollenford-Cores", headStr)
 		}
 		{
-			head := p.MemoryGb
-			headStr := strconv.Itoa(head)
-			req.Header.Set("Pollenford-Memory-Gb", headStr)
+			head := p.MemoryMb
+			headStr := strconv.FormatInt(head, 10)
+			req.Header.Set("Pollenford-Memory-Mb", headStr)
 		}
 		{
 			head := p.Accelerators
-			headStr := strconv.Itoa(head)
+			headStr := strconv.FormatInt(head, 10)
 			req.Header.Set("Pollenford-Accelerators", headStr)
 		}
-		if p.ContentType != nil {
-			head := *p.ContentType
-			req.Header.Set("Content-Type", head)
-		}
 		return nil
 	}
 }
@@ -454,7 +620,6 @@
 //   - "busy" (type *requests.Problem): http.StatusTooManyRequests
 //   - "conflict" (type *requests.Problem): http.StatusConflict
 //   - "failed" (type *requests.Problem): http.StatusBadGateway
-//   - "forbidden" (type *requests.Problem): http.StatusForbidden
 //   - "impossible" (type *requests.Problem): http.StatusUnprocessableEntity
 //   - "not_found" (type *requests.Problem): http.StatusNotFound
 //   - "timeout" (type *requests.Problem): http.StatusRequestTimeout
@@ -506,7 +671,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "submit", err)
 			}
-			return nil, NewSubmitBadRequest(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "submit", err)
+			}
+			return nil, NewSubmitBadRequest(&body, retryAfter)
 		case http.StatusTooManyRequests:
 			var (
 				body SubmitBusyResponseBody
@@ -520,7 +702,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "submit", err)
 			}
-			return nil, NewSubmitBusy(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "submit", err)
+			}
+			return nil, NewSubmitBusy(&body, retryAfter)
 		case http.StatusConflict:
 			var (
 				body SubmitConflictResponseBody
@@ -534,7 +733,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "submit", err)
 			}
-			return nil, NewSubmitConflict(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "submit", err)
+			}
+			return nil, NewSubmitConflict(&body, retryAfter)
 		case http.StatusBadGateway:
 			var (
 				body SubmitFailedResponseBody
@@ -548,21 +764,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "submit", err)
 			}
-			return nil, NewSubmitFailed(&body)
-		case http.StatusForbidden:
 			var (
-				body SubmitForbiddenResponseBody
-				err  error
+				retryAfter *int
 			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("requests", "submit", err)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateSubmitForbiddenResponseBody(&body)
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "submit", err)
 			}
-			return nil, NewSubmitForbidden(&body)
+			return nil, NewSubmitFailed(&body, retryAfter)
 		case http.StatusUnprocessableEntity:
 			var (
 				body SubmitImpossibleResponseBody
@@ -576,7 +795,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "submit", err)
 			}
-			return nil, NewSubmitImpossible(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "submit", err)
+			}
+			return nil, NewSubmitImpossible(&body, retryAfter)
 		case http.StatusNotFound:
 			var (
 				body SubmitNotFoundResponseBody
@@ -590,7 +826,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "submit", err)
 			}
-			return nil, NewSubmitNotFound(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "submit", err)
+			}
+			return nil, NewSubmitNotFound(&body, retryAfter)
 		case http.StatusRequestTimeout:
 			var (
 				body SubmitTimeoutResponseBody
@@ -604,7 +857,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "submit", err)
 			}
-			return nil, NewSubmitTimeout(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "submit", err)
+			}
+			return nil, NewSubmitTimeout(&body, retryAfter)
 		case http.StatusRequestEntityTooLarge:
 			var (
 				body SubmitTooLargeResponseBody
@@ -618,7 +888,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "submit", err)
 			}
-			return nil, NewSubmitTooLarge(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "submit", err)
+			}
+			return nil, NewSubmitTooLarge(&body, retryAfter)
 		case http.StatusUnauthorized:
 			var (
 				body SubmitUnauthorizedResponseBody
@@ -632,7 +919,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "submit", err)
 			}
-			return nil, NewSubmitUnauthorized(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "submit", err)
+			}
+			return nil, NewSubmitUnauthorized(&body, retryAfter)
 		case http.StatusServiceUnavailable:
 			var (
 				body SubmitUnavailableResponseBody
@@ -646,7 +950,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "submit", err)
 			}
-			return nil, NewSubmitUnavailable(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "submit", err)
+			}
+			return nil, NewSubmitUnavailable(&body, retryAfter)
 		case http.StatusGatewayTimeout:
 			var (
 				body SubmitUnknownResponseBody
@@ -660,7 +981,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "submit", err)
 			}
-			return nil, NewSubmitUnknown(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "submit", err)
+			}
+			return nil, NewSubmitUnknown(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("requests", "submit", resp.StatusCode, string(body))
@@ -732,7 +1070,6 @@
 //   - "busy" (type *requests.Problem): http.StatusTooManyRequests
 //   - "conflict" (type *requests.Problem): http.StatusConflict
 //   - "failed" (type *requests.Problem): http.StatusBadGateway
-//   - "forbidden" (type *requests.Problem): http.StatusForbidden
 //   - "impossible" (type *requests.Problem): http.StatusUnprocessableEntity
 //   - "not_found" (type *requests.Problem): http.StatusNotFound
 //   - "timeout" (type *requests.Problem): http.StatusRequestTimeout
@@ -784,7 +1121,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job", err)
 			}
-			return nil, NewJobBadRequest(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job", err)
+			}
+			return nil, NewJobBadRequest(&body, retryAfter)
 		case http.StatusTooManyRequests:
 			var (
 				body JobBusyResponseBody
@@ -798,7 +1152,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job", err)
 			}
-			return nil, NewJobBusy(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job", err)
+			}
+			return nil, NewJobBusy(&body, retryAfter)
 		case http.StatusConflict:
 			var (
 				body JobConflictResponseBody
@@ -812,7 +1183,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job", err)
 			}
-			return nil, NewJobConflict(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job", err)
+			}
+			return nil, NewJobConflict(&body, retryAfter)
 		case http.StatusBadGateway:
 			var (
 				body JobFailedResponseBody
@@ -826,21 +1214,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job", err)
 			}
-			return nil, NewJobFailed(&body)
-		case http.StatusForbidden:
 			var (
-				body JobForbiddenResponseBody
-				err  error
+				retryAfter *int
 			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("requests", "job", err)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateJobForbiddenResponseBody(&body)
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job", err)
 			}
-			return nil, NewJobForbidden(&body)
+			return nil, NewJobFailed(&body, retryAfter)
 		case http.StatusUnprocessableEntity:
 			var (
 				body JobImpossibleResponseBody
@@ -854,7 +1245,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job", err)
 			}
-			return nil, NewJobImpossible(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job", err)
+			}
+			return nil, NewJobImpossible(&body, retryAfter)
 		case http.StatusNotFound:
 			var (
 				body JobNotFoundResponseBody
@@ -868,7 +1276,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job", err)
 			}
-			return nil, NewJobNotFound(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job", err)
+			}
+			return nil, NewJobNotFound(&body, retryAfter)
 		case http.StatusRequestTimeout:
 			var (
 				body JobTimeoutResponseBody
@@ -882,7 +1307,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job", err)
 			}
-			return nil, NewJobTimeout(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job", err)
+			}
+			return nil, NewJobTimeout(&body, retryAfter)
 		case http.StatusRequestEntityTooLarge:
 			var (
 				body JobTooLargeResponseBody
@@ -896,7 +1338,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job", err)
 			}
-			return nil, NewJobTooLarge(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job", err)
+			}
+			return nil, NewJobTooLarge(&body, retryAfter)
 		case http.StatusUnauthorized:
 			var (
 				body JobUnauthorizedResponseBody
@@ -910,7 +1369,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job", err)
 			}
-			return nil, NewJobUnauthorized(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job", err)
+			}
+			return nil, NewJobUnauthorized(&body, retryAfter)
 		case http.StatusServiceUnavailable:
 			var (
 				body JobUnavailableResponseBody
@@ -924,7 +1400,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job", err)
 			}
-			return nil, NewJobUnavailable(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job", err)
+			}
+			return nil, NewJobUnavailable(&body, retryAfter)
 		case http.StatusGatewayTimeout:
 			var (
 				body JobUnknownResponseBody
@@ -938,7 +1431,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job", err)
 			}
-			return nil, NewJobUnknown(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job", err)
+			}
+			return nil, NewJobUnknown(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("requests", "job", resp.StatusCode, string(body))
@@ -997,7 +1507,6 @@
 //   - "busy" (type *requests.Problem): http.StatusTooManyRequests
 //   - "conflict" (type *requests.Problem): http.StatusConflict
 //   - "failed" (type *requests.Problem): http.StatusBadGateway
-//   - "forbidden" (type *requests.Problem): http.StatusForbidden
 //   - "impossible" (type *requests.Problem): http.StatusUnprocessableEntity
 //   - "not_found" (type *requests.Problem): http.StatusNotFound
 //   - "timeout" (type *requests.Problem): http.StatusRequestTimeout
@@ -1021,16 +1530,16 @@
 		switch resp.StatusCode {
 		case http.StatusOK:
 			var (
-				requestID   string
+				jobID       string
 				contentType string
 				length      int64
 				err         error
 			)
-			requestIDRaw := resp.Header.Get("Pollenford-Request")
-			if requestIDRaw == "" {
-				err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "header"))
+			jobIDRaw := resp.Header.Get("Pollenford-Job")
+			if jobIDRaw == "" {
+				err = goa.MergeErrors(err, goa.MissingFieldError("job_id", "header"))
 			}
-			requestID = requestIDRaw
+			jobID = jobIDRaw
 			contentTypeRaw := resp.Header.Get("Content-Type")
 			if contentTypeRaw == "" {
 				err = goa.MergeErrors(err, goa.MissingFieldError("content_type", "header"))
@@ -1050,7 +1559,7 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
 			}
-			res := NewJobAnswerAnswerOK(requestID, contentType, length)
+			res := NewJobAnswerAnswerOK(jobID, contentType, length)
 			return res, nil
 		case http.StatusBadRequest:
 			var (
@@ -1065,7 +1574,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
 			}
-			return nil, NewJobAnswerBadRequest(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
+			}
+			return nil, NewJobAnswerBadRequest(&body, retryAfter)
 		case http.StatusTooManyRequests:
 			var (
 				body JobAnswerBusyResponseBody
@@ -1079,7 +1605,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
 			}
-			return nil, NewJobAnswerBusy(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
+			}
+			return nil, NewJobAnswerBusy(&body, retryAfter)
 		case http.StatusConflict:
 			var (
 				body JobAnswerConflictResponseBody
@@ -1093,7 +1636,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
 			}
-			return nil, NewJobAnswerConflict(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
+			}
+			return nil, NewJobAnswerConflict(&body, retryAfter)
 		case http.StatusBadGateway:
 			var (
 				body JobAnswerFailedResponseBody
@@ -1107,21 +1667,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
 			}
-			return nil, NewJobAnswerFailed(&body)
-		case http.StatusForbidden:
 			var (
-				body JobAnswerForbiddenResponseBody
-				err  error
+				retryAfter *int
 			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("requests", "job_answer", err)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateJobAnswerForbiddenResponseBody(&body)
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
 			}
-			return nil, NewJobAnswerForbidden(&body)
+			return nil, NewJobAnswerFailed(&body, retryAfter)
 		case http.StatusUnprocessableEntity:
 			var (
 				body JobAnswerImpossibleResponseBody
@@ -1135,7 +1698,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
 			}
-			return nil, NewJobAnswerImpossible(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
+			}
+			return nil, NewJobAnswerImpossible(&body, retryAfter)
 		case http.StatusNotFound:
 			var (
 				body JobAnswerNotFoundResponseBody
@@ -1149,7 +1729,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
 			}
-			return nil, NewJobAnswerNotFound(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
+			}
+			return nil, NewJobAnswerNotFound(&body, retryAfter)
 		case http.StatusRequestTimeout:
 			var (
 				body JobAnswerTimeoutResponseBody
@@ -1163,7 +1760,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
 			}
-			return nil, NewJobAnswerTimeout(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
+			}
+			return nil, NewJobAnswerTimeout(&body, retryAfter)
 		case http.StatusRequestEntityTooLarge:
 			var (
 				body JobAnswerTooLargeResponseBody
@@ -1177,7 +1791,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
 			}
-			return nil, NewJobAnswerTooLarge(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
+			}
+			return nil, NewJobAnswerTooLarge(&body, retryAfter)
 		case http.StatusUnauthorized:
 			var (
 				body JobAnswerUnauthorizedResponseBody
@@ -1191,7 +1822,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
 			}
-			return nil, NewJobAnswerUnauthorized(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
+			}
+			return nil, NewJobAnswerUnauthorized(&body, retryAfter)
 		case http.StatusServiceUnavailable:
 			var (
 				body JobAnswerUnavailableResponseBody
@@ -1205,7 +1853,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
 			}
-			return nil, NewJobAnswerUnavailable(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
+			}
+			return nil, NewJobAnswerUnavailable(&body, retryAfter)
 		case http.StatusGatewayTimeout:
 			var (
 				body JobAnswerUnknownResponseBody
@@ -1219,7 +1884,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
 			}
-			return nil, NewJobAnswerUnknown(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "job_answer", err)
+			}
+			return nil, NewJobAnswerUnknown(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("requests", "job_answer", resp.StatusCode, string(body))
@@ -1278,7 +1960,6 @@
 //   - "busy" (type *requests.Problem): http.StatusTooManyRequests
 //   - "conflict" (type *requests.Problem): http.StatusConflict
 //   - "failed" (type *requests.Problem): http.StatusBadGateway
-//   - "forbidden" (type *requests.Problem): http.StatusForbidden
 //   - "impossible" (type *requests.Problem): http.StatusUnprocessableEntity
 //   - "not_found" (type *requests.Problem): http.StatusNotFound
 //   - "timeout" (type *requests.Problem): http.StatusRequestTimeout
@@ -1330,7 +2011,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "cancel", err)
 			}
-			return nil, NewCancelBadRequest(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "cancel", err)
+			}
+			return nil, NewCancelBadRequest(&body, retryAfter)
 		case http.StatusTooManyRequests:
 			var (
 				body CancelBusyResponseBody
@@ -1344,7 +2042,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "cancel", err)
 			}
-			return nil, NewCancelBusy(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "cancel", err)
+			}
+			return nil, NewCancelBusy(&body, retryAfter)
 		case http.StatusConflict:
 			var (
 				body CancelConflictResponseBody
@@ -1358,7 +2073,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "cancel", err)
 			}
-			return nil, NewCancelConflict(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "cancel", err)
+			}
+			return nil, NewCancelConflict(&body, retryAfter)
 		case http.StatusBadGateway:
 			var (
 				body CancelFailedResponseBody
@@ -1372,21 +2104,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "cancel", err)
 			}
-			return nil, NewCancelFailed(&body)
-		case http.StatusForbidden:
 			var (
-				body CancelForbiddenResponseBody
-				err  error
+				retryAfter *int
 			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("requests", "cancel", err)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
 			}
-			err = ValidateCancelForbiddenResponseBody(&body)
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "cancel", err)
 			}
-			return nil, NewCancelForbidden(&body)
+			return nil, NewCancelFailed(&body, retryAfter)
 		case http.StatusUnprocessableEntity:
 			var (
 				body CancelImpossibleResponseBody
@@ -1400,7 +2135,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "cancel", err)
 			}
-			return nil, NewCancelImpossible(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "cancel", err)
+			}
+			return nil, NewCancelImpossible(&body, retryAfter)
 		case http.StatusNotFound:
 			var (
 				body CancelNotFoundResponseBody
@@ -1414,7 +2166,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "cancel", err)
 			}
-			return nil, NewCancelNotFound(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "cancel", err)
+			}
+			return nil, NewCancelNotFound(&body, retryAfter)
 		case http.StatusRequestTimeout:
 			var (
 				body CancelTimeoutResponseBody
@@ -1428,7 +2197,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "cancel", err)
 			}
-			return nil, NewCancelTimeout(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "cancel", err)
+			}
+			return nil, NewCancelTimeout(&body, retryAfter)
 		case http.StatusRequestEntityTooLarge:
 			var (
 				body CancelTooLargeResponseBody
@@ -1442,7 +2228,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "cancel", err)
 			}
-			return nil, NewCancelTooLarge(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "cancel", err)
+			}
+			return nil, NewCancelTooLarge(&body, retryAfter)
 		case http.StatusUnauthorized:
 			var (
 				body CancelUnauthorizedResponseBody
@@ -1456,7 +2259,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "cancel", err)
 			}
-			return nil, NewCancelUnauthorized(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "cancel", err)
+			}
+			return nil, NewCancelUnauthorized(&body, retryAfter)
 		case http.StatusServiceUnavailable:
 			var (
 				body CancelUnavailableResponseBody
@@ -1470,7 +2290,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "cancel", err)
 			}
-			return nil, NewCancelUnavailable(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "cancel", err)
+			}
+			return nil, NewCancelUnavailable(&body, retryAfter)
 		case http.StatusGatewayTimeout:
 			var (
 				body CancelUnknownResponseBody
@@ -1484,7 +2321,24 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("requests", "cancel", err)
 			}
-			return nil, NewCancelUnknown(&body)
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("requests", "cancel", err)
+			}
+			return nil, NewCancelUnknown(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("requests", "cancel", resp.StatusCode, string(body))
--- a/gen/http/requests/client/types.go
+++ b/gen/http/requests/client/types.go
@@ -21,8 +21,6 @@
 	Status *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
 	// What is known about the work when it has no answer
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Why the job has no answer
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 }
 
 // JobResponseBody is the type of the "requests" service "job" endpoint HTTP
@@ -34,8 +32,6 @@
 	Status *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
 	// What is known about the work when it has no answer
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Why the job has no answer
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 }
 
 // CancelResponseBody is the type of the "requests" service "cancel" endpoint
@@ -47,8 +43,6 @@
 	Status *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
 	// What is known about the work when it has no answer
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Why the job has no answer
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 }
 
 // SendBadRequestResponseBody is the type of the "requests" service "send"
@@ -68,10 +62,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -93,10 +87,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -118,10 +112,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -143,35 +137,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// SendForbiddenResponseBody is the type of the "requests" service "send"
-// endpoint HTTP response body for the "forbidden" error.
-type SendForbiddenResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -193,10 +162,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -218,10 +187,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -243,10 +212,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -268,10 +237,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -293,10 +262,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -318,10 +287,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -343,10 +312,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -368,10 +337,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -393,10 +362,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -418,10 +387,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -443,35 +412,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// SubmitForbiddenResponseBody is the type of the "requests" service "submit"
-// endpoint HTTP response body for the "forbidden" error.
-type SubmitForbiddenResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -493,10 +437,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -518,10 +462,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -543,10 +487,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -568,10 +512,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -593,10 +537,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -618,10 +562,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -643,10 +587,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -668,10 +612,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -693,10 +637,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -718,10 +662,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -743,35 +687,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// JobForbiddenResponseBody is the type of the "requests" service "job"
-// endpoint HTTP response body for the "forbidden" error.
-type JobForbiddenResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -793,10 +712,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -818,10 +737,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -843,10 +762,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -868,10 +787,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -893,10 +812,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -918,10 +837,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -943,10 +862,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -968,10 +887,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -993,10 +912,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1018,10 +937,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1043,35 +962,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// JobAnswerForbiddenResponseBody is the type of the "requests" service
-// "job_answer" endpoint HTTP response body for the "forbidden" error.
-type JobAnswerForbiddenResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1093,10 +987,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1118,10 +1012,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1143,10 +1037,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1168,10 +1062,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1193,10 +1087,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1218,10 +1112,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1243,10 +1137,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1268,10 +1162,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1293,10 +1187,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1318,10 +1212,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1343,35 +1237,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// CancelForbiddenResponseBody is the type of the "requests" service "cancel"
-// endpoint HTTP response body for the "forbidden" error.
-type CancelForbiddenResponseBody struct {
-	// Error name
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// URI reference that identifies the problem type
-	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
-	// Short summary of the problem type
-	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
-	// HTTP status
-	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	// What happened to this request
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1393,10 +1262,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1418,10 +1287,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1443,10 +1312,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1468,10 +1337,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1493,10 +1362,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1518,10 +1387,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1543,10 +1412,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1561,9 +1430,9 @@
 
 // NewSendAnswerOK builds a "requests" service "send" endpoint result from a
 // HTTP "OK" response.
-func NewSendAnswerOK(requestID string, contentType string, length int64) *requests.Answer {
+func NewSendAnswerOK(jobID string, contentType string, length int64) *requests.Answer {
 	v := &requests.Answer{}
-	v.RequestID = requestID
+	v.JobID = jobID
 	v.ContentType = contentType
 	v.Length = length
 
@@ -1571,7 +1440,7 @@
 }
 
 // NewSendBadRequest builds a requests service send endpoint bad_request error.
-func NewSendBadRequest(body *SendBadRequestResponseBody) *requests.Problem {
+func NewSendBadRequest(body *SendBadRequestResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -1580,7 +1449,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -1593,12 +1462,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSendBusy builds a requests service send endpoint busy error.
-func NewSendBusy(body *SendBusyResponseBody) *requests.Problem {
+func NewSendBusy(body *SendBusyResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -1607,7 +1477,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -1620,12 +1490,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSendConflict builds a requests service send endpoint conflict error.
-func NewSendConflict(body *SendConflictResponseBody) *requests.Problem {
+func NewSendConflict(body *SendConflictResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -1634,7 +1505,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -1647,39 +1518,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSendFailed builds a requests service send endpoint failed error.
-func NewSendFailed(body *SendFailedResponseBody) *requests.Problem {
-	v := &requests.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*requests.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewSendForbidden builds a requests service send endpoint forbidden error.
-func NewSendForbidden(body *SendForbiddenResponseBody) *requests.Problem {
+func NewSendFailed(body *SendFailedResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -1688,7 +1533,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -1701,12 +1546,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSendImpossible builds a requests service send endpoint impossible error.
-func NewSendImpossible(body *SendImpossibleResponseBody) *requests.Problem {
+func NewSendImpossible(body *SendImpossibleResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -1715,7 +1561,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -1728,12 +1574,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSendNotFound builds a requests service send endpoint not_found error.
-func NewSendNotFound(body *SendNotFoundResponseBody) *requests.Problem {
+func NewSendNotFound(body *SendNotFoundResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -1742,7 +1589,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -1755,12 +1602,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSendTimeout builds a requests service send endpoint timeout error.
-func NewSendTimeout(body *SendTimeoutResponseBody) *requests.Problem {
+func NewSendTimeout(body *SendTimeoutResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -1769,7 +1617,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -1782,12 +1630,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSendTooLarge builds a requests service send endpoint too_large error.
-func NewSendTooLarge(body *SendTooLargeResponseBody) *requests.Problem {
+func NewSendTooLarge(body *SendTooLargeResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -1796,7 +1645,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -1809,13 +1658,14 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSendUnauthorized builds a requests service send endpoint unauthorized
 // error.
-func NewSendUnauthorized(body *SendUnauthorizedResponseBody) *requests.Problem {
+func NewSendUnauthorized(body *SendUnauthorizedResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -1824,7 +1674,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -1837,12 +1687,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSendUnavailable builds a requests service send endpoint unavailable error.
-func NewSendUnavailable(body *SendUnavailableResponseBody) *requests.Problem {
+func NewSendUnavailable(body *SendUnavailableResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -1851,7 +1702,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -1864,12 +1715,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSendUnknown builds a requests service send endpoint unknown error.
-func NewSendUnknown(body *SendUnknownResponseBody) *requests.Problem {
+func NewSendUnknown(body *SendUnknownResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -1878,7 +1730,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -1891,6 +1743,7 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
@@ -1902,7 +1755,6 @@
 		ID:      *body.ID,
 		Status:  *body.Status,
 		Outcome: body.Outcome,
-		Detail:  body.Detail,
 	}
 
 	return v
@@ -1910,7 +1762,7 @@
 
 // NewSubmitBadRequest builds a requests service submit endpoint bad_request
 // error.
-func NewSubmitBadRequest(body *SubmitBadRequestResponseBody) *requests.Problem {
+func NewSubmitBadRequest(body *SubmitBadRequestResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -1919,7 +1771,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -1932,12 +1784,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSubmitBusy builds a requests service submit endpoint busy error.
-func NewSubmitBusy(body *SubmitBusyResponseBody) *requests.Problem {
+func NewSubmitBusy(body *SubmitBusyResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -1946,7 +1799,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -1959,12 +1812,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSubmitConflict builds a requests service submit endpoint conflict error.
-func NewSubmitConflict(body *SubmitConflictResponseBody) *requests.Problem {
+func NewSubmitConflict(body *SubmitConflictResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -1973,7 +1827,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -1986,12 +1840,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSubmitFailed builds a requests service submit endpoint failed error.
-func NewSubmitFailed(body *SubmitFailedResponseBody) *requests.Problem {
+func NewSubmitFailed(body *SubmitFailedResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2000,34 +1855,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*requests.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewSubmitForbidden builds a requests service submit endpoint forbidden error.
-func NewSubmitForbidden(body *SubmitForbiddenResponseBody) *requests.Problem {
-	v := &requests.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2040,13 +1868,14 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSubmitImpossible builds a requests service submit endpoint impossible
 // error.
-func NewSubmitImpossible(body *SubmitImpossibleResponseBody) *requests.Problem {
+func NewSubmitImpossible(body *SubmitImpossibleResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2055,7 +1884,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2068,12 +1897,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSubmitNotFound builds a requests service submit endpoint not_found error.
-func NewSubmitNotFound(body *SubmitNotFoundResponseBody) *requests.Problem {
+func NewSubmitNotFound(body *SubmitNotFoundResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2082,7 +1912,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2095,12 +1925,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSubmitTimeout builds a requests service submit endpoint timeout error.
-func NewSubmitTimeout(body *SubmitTimeoutResponseBody) *requests.Problem {
+func NewSubmitTimeout(body *SubmitTimeoutResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2109,7 +1940,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2122,12 +1953,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSubmitTooLarge builds a requests service submit endpoint too_large error.
-func NewSubmitTooLarge(body *SubmitTooLargeResponseBody) *requests.Problem {
+func NewSubmitTooLarge(body *SubmitTooLargeResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2136,7 +1968,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2149,13 +1981,14 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSubmitUnauthorized builds a requests service submit endpoint unauthorized
 // error.
-func NewSubmitUnauthorized(body *SubmitUnauthorizedResponseBody) *requests.Problem {
+func NewSubmitUnauthorized(body *SubmitUnauthorizedResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2164,7 +1997,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2177,13 +2010,14 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSubmitUnavailable builds a requests service submit endpoint unavailable
 // error.
-func NewSubmitUnavailable(body *SubmitUnavailableResponseBody) *requests.Problem {
+func NewSubmitUnavailable(body *SubmitUnavailableResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2192,7 +2026,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2205,12 +2039,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewSubmitUnknown builds a requests service submit endpoint unknown error.
-func NewSubmitUnknown(body *SubmitUnknownResponseBody) *requests.Problem {
+func NewSubmitUnknown(body *SubmitUnknownResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2219,7 +2054,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2232,6 +2067,7 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
@@ -2243,14 +2079,13 @@
 		ID:      *body.ID,
 		Status:  *body.Status,
 		Outcome: body.Outcome,
-		Detail:  body.Detail,
 	}
 
 	return v
 }
 
 // NewJobBadRequest builds a requests service job endpoint bad_request error.
-func NewJobBadRequest(body *JobBadRequestResponseBody) *requests.Problem {
+func NewJobBadRequest(body *JobBadRequestResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2259,7 +2094,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2272,12 +2107,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobBusy builds a requests service job endpoint busy error.
-func NewJobBusy(body *JobBusyResponseBody) *requests.Problem {
+func NewJobBusy(body *JobBusyResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2286,7 +2122,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2299,12 +2135,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobConflict builds a requests service job endpoint conflict error.
-func NewJobConflict(body *JobConflictResponseBody) *requests.Problem {
+func NewJobConflict(body *JobConflictResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2313,7 +2150,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2326,12 +2163,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobFailed builds a requests service job endpoint failed error.
-func NewJobFailed(body *JobFailedResponseBody) *requests.Problem {
+func NewJobFailed(body *JobFailedResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2340,34 +2178,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*requests.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewJobForbidden builds a requests service job endpoint forbidden error.
-func NewJobForbidden(body *JobForbiddenResponseBody) *requests.Problem {
-	v := &requests.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2380,12 +2191,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobImpossible builds a requests service job endpoint impossible error.
-func NewJobImpossible(body *JobImpossibleResponseBody) *requests.Problem {
+func NewJobImpossible(body *JobImpossibleResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2394,7 +2206,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2407,12 +2219,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobNotFound builds a requests service job endpoint not_found error.
-func NewJobNotFound(body *JobNotFoundResponseBody) *requests.Problem {
+func NewJobNotFound(body *JobNotFoundResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2421,7 +2234,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2434,12 +2247,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobTimeout builds a requests service job endpoint timeout error.
-func NewJobTimeout(body *JobTimeoutResponseBody) *requests.Problem {
+func NewJobTimeout(body *JobTimeoutResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2448,7 +2262,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2461,12 +2275,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobTooLarge builds a requests service job endpoint too_large error.
-func NewJobTooLarge(body *JobTooLargeResponseBody) *requests.Problem {
+func NewJobTooLarge(body *JobTooLargeResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2475,7 +2290,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2488,12 +2303,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobUnauthorized builds a requests service job endpoint unauthorized error.
-func NewJobUnauthorized(body *JobUnauthorizedResponseBody) *requests.Problem {
+func NewJobUnauthorized(body *JobUnauthorizedResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2502,7 +2318,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2515,12 +2331,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobUnavailable builds a requests service job endpoint unavailable error.
-func NewJobUnavailable(body *JobUnavailableResponseBody) *requests.Problem {
+func NewJobUnavailable(body *JobUnavailableResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2529,7 +2346,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2542,12 +2359,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobUnknown builds a requests service job endpoint unknown error.
-func NewJobUnknown(body *JobUnknownResponseBody) *requests.Problem {
+func NewJobUnknown(body *JobUnknownResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2556,7 +2374,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2569,15 +2387,16 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobAnswerAnswerOK builds a "requests" service "job_answer" endpoint
 // result from a HTTP "OK" response.
-func NewJobAnswerAnswerOK(requestID string, contentType string, length int64) *requests.Answer {
+func NewJobAnswerAnswerOK(jobID string, contentType string, length int64) *requests.Answer {
 	v := &requests.Answer{}
-	v.RequestID = requestID
+	v.JobID = jobID
 	v.ContentType = contentType
 	v.Length = length
 
@@ -2586,7 +2405,7 @@
 
 // NewJobAnswerBadRequest builds a requests service job_answer endpoint
 // bad_request error.
-func NewJobAnswerBadRequest(body *JobAnswerBadRequestResponseBody) *requests.Problem {
+func NewJobAnswerBadRequest(body *JobAnswerBadRequestResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2595,7 +2414,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2608,12 +2427,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobAnswerBusy builds a requests service job_answer endpoint busy error.
-func NewJobAnswerBusy(body *JobAnswerBusyResponseBody) *requests.Problem {
+func NewJobAnswerBusy(body *JobAnswerBusyResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2622,7 +2442,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2635,13 +2455,14 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobAnswerConflict builds a requests service job_answer endpoint conflict
 // error.
-func NewJobAnswerConflict(body *JobAnswerConflictResponseBody) *requests.Problem {
+func NewJobAnswerConflict(body *JobAnswerConflictResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2650,7 +2471,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2663,13 +2484,14 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobAnswerFailed builds a requests service job_answer endpoint failed
 // error.
-func NewJobAnswerFailed(body *JobAnswerFailedResponseBody) *requests.Problem {
+func NewJobAnswerFailed(body *JobAnswerFailedResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2678,35 +2500,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*requests.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewJobAnswerForbidden builds a requests service job_answer endpoint
-// forbidden error.
-func NewJobAnswerForbidden(body *JobAnswerForbiddenResponseBody) *requests.Problem {
-	v := &requests.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2719,13 +2513,14 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobAnswerImpossible builds a requests service job_answer endpoint
 // impossible error.
-func NewJobAnswerImpossible(body *JobAnswerImpossibleResponseBody) *requests.Problem {
+func NewJobAnswerImpossible(body *JobAnswerImpossibleResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2734,7 +2529,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2747,13 +2542,14 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobAnswerNotFound builds a requests service job_answer endpoint not_found
 // error.
-func NewJobAnswerNotFound(body *JobAnswerNotFoundResponseBody) *requests.Problem {
+func NewJobAnswerNotFound(body *JobAnswerNotFoundResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2762,7 +2558,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2775,13 +2571,14 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobAnswerTimeout builds a requests service job_answer endpoint timeout
 // error.
-func NewJobAnswerTimeout(body *JobAnswerTimeoutResponseBody) *requests.Problem {
+func NewJobAnswerTimeout(body *JobAnswerTimeoutResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2790,7 +2587,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2803,13 +2600,14 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobAnswerTooLarge builds a requests service job_answer endpoint too_large
 // error.
-func NewJobAnswerTooLarge(body *JobAnswerTooLargeResponseBody) *requests.Problem {
+func NewJobAnswerTooLarge(body *JobAnswerTooLargeResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2818,7 +2616,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2831,13 +2629,14 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobAnswerUnauthorized builds a requests service job_answer endpoint
 // unauthorized error.
-func NewJobAnswerUnauthorized(body *JobAnswerUnauthorizedResponseBody) *requests.Problem {
+func NewJobAnswerUnauthorized(body *JobAnswerUnauthorizedResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2846,7 +2645,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2859,13 +2658,14 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobAnswerUnavailable builds a requests service job_answer endpoint
 // unavailable error.
-func NewJobAnswerUnavailable(body *JobAnswerUnavailableResponseBody) *requests.Problem {
+func NewJobAnswerUnavailable(body *JobAnswerUnavailableResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2874,7 +2674,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2887,13 +2687,14 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewJobAnswerUnknown builds a requests service job_answer endpoint unknown
 // error.
-func NewJobAnswerUnknown(body *JobAnswerUnknownResponseBody) *requests.Problem {
+func NewJobAnswerUnknown(body *JobAnswerUnknownResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2902,7 +2703,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2915,6 +2716,7 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
@@ -2926,7 +2728,6 @@
 		ID:      *body.ID,
 		Status:  *body.Status,
 		Outcome: body.Outcome,
-		Detail:  body.Detail,
 	}
 
 	return v
@@ -2934,7 +2735,7 @@
 
 // NewCancelBadRequest builds a requests service cancel endpoint bad_request
 // error.
-func NewCancelBadRequest(body *CancelBadRequestResponseBody) *requests.Problem {
+func NewCancelBadRequest(body *CancelBadRequestResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2943,7 +2744,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2956,12 +2757,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewCancelBusy builds a requests service cancel endpoint busy error.
-func NewCancelBusy(body *CancelBusyResponseBody) *requests.Problem {
+func NewCancelBusy(body *CancelBusyResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2970,7 +2772,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -2983,12 +2785,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewCancelConflict builds a requests service cancel endpoint conflict error.
-func NewCancelConflict(body *CancelConflictResponseBody) *requests.Problem {
+func NewCancelConflict(body *CancelConflictResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -2997,7 +2800,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -3010,39 +2813,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewCancelFailed builds a requests service cancel endpoint failed error.
-func NewCancelFailed(body *CancelFailedResponseBody) *requests.Problem {
-	v := &requests.Problem{
-		Name:           *body.Name,
-		Type:           *body.Type,
-		Title:          *body.Title,
-		Status:         *body.Status,
-		Detail:         *body.Detail,
-		Outcome:        body.Outcome,
-		Reason:         body.Reason,
-		RequestID:      body.RequestID,
-		CurrentVersion: body.CurrentVersion,
-	}
-	if body.Findings != nil {
-		v.Findings = make([]*requests.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
-		}
-	}
-
-	return v
-}
-
-// NewCancelForbidden builds a requests service cancel endpoint forbidden error.
-func NewCancelForbidden(body *CancelForbiddenResponseBody) *requests.Problem {
+func NewCancelFailed(body *CancelFailedResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -3051,7 +2828,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -3064,13 +2841,14 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewCancelImpossible builds a requests service cancel endpoint impossible
 // error.
-func NewCancelImpossible(body *CancelImpossibleResponseBody) *requests.Problem {
+func NewCancelImpossible(body *CancelImpossibleResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -3079,7 +2857,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -3092,12 +2870,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewCancelNotFound builds a requests service cancel endpoint not_found error.
-func NewCancelNotFound(body *CancelNotFoundResponseBody) *requests.Problem {
+func NewCancelNotFound(body *CancelNotFoundResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -3106,7 +2885,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -3119,12 +2898,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewCancelTimeout builds a requests service cancel endpoint timeout error.
-func NewCancelTimeout(body *CancelTimeoutResponseBody) *requests.Problem {
+func NewCancelTimeout(body *CancelTimeoutResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -3133,7 +2913,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -3146,12 +2926,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewCancelTooLarge builds a requests service cancel endpoint too_large error.
-func NewCancelTooLarge(body *CancelTooLargeResponseBody) *requests.Problem {
+func NewCancelTooLarge(body *CancelTooLargeResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -3160,7 +2941,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -3173,13 +2954,14 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewCancelUnauthorized builds a requests service cancel endpoint unauthorized
 // error.
-func NewCancelUnauthorized(body *CancelUnauthorizedResponseBody) *requests.Problem {
+func NewCancelUnauthorized(body *CancelUnauthorizedResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -3188,7 +2970,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -3201,13 +2983,14 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewCancelUnavailable builds a requests service cancel endpoint unavailable
 // error.
-func NewCancelUnavailable(body *CancelUnavailableResponseBody) *requests.Problem {
+func NewCancelUnavailable(body *CancelUnavailableResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -3216,7 +2999,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -3229,12 +3012,13 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewCancelUnknown builds a requests service cancel endpoint unknown error.
-func NewCancelUnknown(body *CancelUnknownResponseBody) *requests.Problem {
+func NewCancelUnknown(body *CancelUnknownResponseBody, retryAfter *int) *requests.Problem {
 	v := &requests.Problem{
 		Name:           *body.Name,
 		Type:           *body.Type,
@@ -3243,7 +3027,7 @@
 		Detail:         *body.Detail,
 		Outcome:        body.Outcome,
 		Reason:         body.Reason,
-		RequestID:      body.RequestID,
+		JobID:          body.JobID,
 		CurrentVersion: body.CurrentVersion,
 	}
 	if body.Findings != nil {
@@ -3256,6 +3040,7 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToRequestsFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
@@ -3269,8 +3054,8 @@
 		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
 	if body.Status != nil {
-		if !(*body.Status == "queued" || *body.Status == "running" || *body.Status == "done" || *body.Status == "cancelled" || *body.Status == "failed" || *body.Status == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.status", *body.Status, []any{"queued", "running", "done", "cancelled", "failed", "unknown"}))
+		if !(*body.Status == "queued" || *body.Status == "running" || *body.Status == "done" || *body.Status == "cancelled" || *body.Status == "failed") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.status", *body.Status, []any{"queued", "running", "done", "cancelled", "failed"}))
 		}
 	}
 	if body.Outcome != nil {
@@ -3290,8 +3075,8 @@
 		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
 	if body.Status != nil {
-		if !(*body.Status == "queued" || *body.Status == "running" || *body.Status == "done" || *body.Status == "cancelled" || *body.Status == "failed" || *body.Status == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.status", *body.Status, []any{"queued", "running", "done", "cancelled", "failed", "unknown"}))
+		if !(*body.Status == "queued" || *body.Status == "running" || *body.Status == "done" || *body.Status == "cancelled" || *body.Status == "failed") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.status", *body.Status, []any{"queued", "running", "done", "cancelled", "failed"}))
 		}
 	}
 	if body.Outcome != nil {
@@ -3311,8 +3096,8 @@
 		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
 	if body.Status != nil {
-		if !(*body.Status == "queued" || *body.Status == "running" || *body.Status == "done" || *body.Status == "cancelled" || *body.Status == "failed" || *body.Status == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.status", *body.Status, []any{"queued", "running", "done", "cancelled", "failed", "unknown"}))
+		if !(*body.Status == "queued" || *body.Status == "running" || *body.Status == "done" || *body.Status == "cancelled" || *body.Status == "failed") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.status", *body.Status, []any{"queued", "running", "done", "cancelled", "failed"}))
 		}
 	}
 	if body.Outcome != nil {
@@ -3455,39 +3240,6 @@
 	return
 }
 
-// ValidateSendForbiddenResponseBody runs the validations defined on
-// send_forbidden_response_body
-func ValidateSendForbiddenResponseBody(body *SendForbiddenResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
 // ValidateSendImpossibleResponseBody runs the validations defined on
 // send_impossible_response_body
 func ValidateSendImpossibleResponseBody(body *SendImpossibleResponseBody) (err error) {
@@ -3851,39 +3603,6 @@
 	return
 }
 
-// ValidateSubmitForbiddenResponseBody runs the validations defined on
-// submit_forbidden_response_body
-func ValidateSubmitForbiddenResponseBody(body *SubmitForbiddenResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
 // ValidateSubmitImpossibleResponseBody runs the validations defined on
 // submit_impossible_response_body
 func ValidateSubmitImpossibleResponseBody(body *SubmitImpossibleResponseBody) (err error) {
@@ -4247,39 +3966,6 @@
 	return
 }
 
-// ValidateJobForbiddenResponseBody runs the validations defined on
-// job_forbidden_response_body
-func ValidateJobForbiddenResponseBody(body *JobForbiddenResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
 // ValidateJobImpossibleResponseBody runs the validations defined on
 // job_impossible_response_body
 func ValidateJobImpossibleResponseBody(body *JobImpossibleResponseBody) (err error) {
@@ -4643,39 +4329,6 @@
 	return
 }
 
-// ValidateJobAnswerForbiddenResponseBody runs the validations defined on
-// job_answer_forbidden_response_body
-func ValidateJobAnswerForbiddenResponseBody(body *JobAnswerForbiddenResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
 // ValidateJobAnswerImpossibleResponseBody runs the validations defined on
 // job_answer_impossible_response_body
 func ValidateJobAnswerImpossibleResponseBody(body *JobAnswerImpossibleResponseBody) (err error) {
@@ -5039,39 +4692,6 @@
 	return
 }
 
-// ValidateCancelForbiddenResponseBody runs the validations defined on
-// cancel_forbidden_response_body
-func ValidateCancelForbiddenResponseBody(body *CancelForbiddenResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Type == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
-	}
-	if body.Title == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
-	}
-	if body.Status == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
-	}
-	if body.Detail == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
-	}
-	if body.Outcome != nil {
-		if !(*body.Outcome == "not-run" || *body.Outcome == "failed" || *body.Outcome == "unknown") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "failed", "unknown"}))
-		}
-	}
-	for _, e := range body.Findings {
-		if e != nil {
-			if err2 := ValidateFindingResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	return
-}
-
 // ValidateCancelImpossibleResponseBody runs the validations defined on
 // cancel_impossible_response_body
 func ValidateCancelImpossibleResponseBody(body *CancelImpossibleResponseBody) (err error) {
