--- a/gen/http/requests/server/encode_decode.go
+++ b/gen/http/requests/server/encode_decode.go
@@ -24,7 +24,7 @@
 func EncodeSendResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
 	return func(ctx context.Context, w http.ResponseWriter, v any) error {
 		res, _ := v.(*requests.Answer)
-		w.Header().Set("Pollenford-Request", res.RequestID)
+		w.Header().Set("Pollenford-Job", res.JobID)
 		w.Header().Set("Content-Type", res.ContentType)
 		{
 			val := res.Length
@@ -46,13 +46,12 @@
 			authorization  *string
 			idempotencyKey *string
 			idempotent     bool
-			deadlineMs     *int64
-			priority       string
-			preemptible    bool
-			cores          int
-			memoryGb       int
-			accelerators   int
-			contentType    *string
+			resumable      bool
+			deadlineMs     int64
+			estimateMs     int64
+			cores          float64
+			memoryMb       int64
+			accelerators   int64
 			err            error
 
 			params = mux.Vars(r)
@@ -81,73 +80,92 @@
 				idempotent = v
 			}
 		}
+		{
+			resumableRaw := r.Header.Get("Pollenford-Resumable")
+			if resumableRaw != "" {
+				v, err2 := strconv.ParseBool(resumableRaw)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("resumable", resumableRaw, "boolean"))
+				}
+				resumable = v
+			}
+		}
 		{
 			deadlineMsRaw := r.Header.Get("Pollenford-Deadline-Ms")
-			if deadlineMsRaw != "" {
+			if deadlineMsRaw == "" {
+				deadlineMs = 30000
+			} else {
 				v, err2 := strconv.ParseInt(deadlineMsRaw, 10, 64)
 				if err2 != nil {
 					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("deadline_ms", deadlineMsRaw, "integer"))
 				}
-				deadlineMs = &v
+				deadlineMs = v
 			}
 		}
-		priorityRaw := r.Header.Get("Pollenford-Priority")
-		if priorityRaw != "" {
-			priority = priorityRaw
-		} else {
-			priority = "normal"
+		if deadlineMs < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("deadline_ms", deadlineMs, 1, true))
 		}
-		if !(priority == "urgent" || priority == "normal") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("priority", priority, []any{"urgent", "normal"}))
+		if deadlineMs > 600000 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("deadline_ms", deadlineMs, 600000, false))
 		}
 		{
-			preemptibleRaw := r.Header.Get("Pollenford-Preemptible")
-			if preemptibleRaw != "" {
-				v, err2 := strconv.ParseBool(preemptibleRaw)
+			estimateMsRaw := r.Header.Get("Pollenford-Estimate-Ms")
+			if estimateMsRaw != "" {
+				v, err2 := strconv.ParseInt(estimateMsRaw, 10, 64)
 				if err2 != nil {
-					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("preemptible", preemptibleRaw, "boolean"))
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("estimate_ms", estimateMsRaw, "integer"))
 				}
-				preemptible = v
+				estimateMs = v
 			}
 		}
+		if estimateMs < 0 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("estimate_ms", estimateMs, 0, true))
+		}
 		{
 			coresRaw := r.Header.Get("Pollenford-Cores")
-			if coresRaw != "" {
-				v, err2 := strconv.ParseInt(coresRaw, 10, strconv.IntSize)
+			if coresRaw == "" {
+				cores = 1
+			} else {
+				v, err2 := strconv.ParseFloat(coresRaw, 64)
 				if err2 != nil {
-					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("cores", coresRaw, "integer"))
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("cores", coresRaw, "float"))
 				}
-				cores = int(v)
+				cores = v
 			}
 		}
+		if cores < 0 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("cores", cores, 0, true))
+		}
 		{
-			memoryGbRaw := r.Header.Get("Pollenford-Memory-Gb")
-			if memoryGbRaw != "" {
-				v, err2 := strconv.ParseInt(memoryGbRaw, 10, strconv.IntSize)
+			memoryMbRaw := r.Header.Get("Pollenford-Memory-Mb")
+			if memoryMbRaw != "" {
+				v, err2 := strconv.ParseInt(memoryMbRaw, 10, 64)
 				if err2 != nil {
-					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("memory_gb", memoryGbRaw, "integer"))
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("memory_mb", memoryMbRaw, "integer"))
 				}
-				memoryGb = int(v)
+				memoryMb = v
 			}
 		}
+		if memoryMb < 0 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("memory_mb", memoryMb, 0, true))
+		}
 		{
 			acceleratorsRaw := r.Header.Get("Pollenford-Accelerators")
 			if acceleratorsRaw != "" {
-				v, err2 := strconv.ParseInt(acceleratorsRaw, 10, strconv.IntSize)
+				v, err2 := strconv.ParseInt(acceleratorsRaw, 10, 64)
 				if err2 != nil {
 					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("accelerators", acceleratorsRaw, "integer"))
 				}
-				accelerators = int(v)
+				accelerators = v
 			}
 		}
-		contentTypeRaw := r.Header.Get("Content-Type")
-		if contentTypeRaw != "" {
-			contentType = &contentTypeRaw
+		if accelerators < 0 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("accelerators", accelerators, 0, true))
 		}
 		if err != nil {
 			return payload, err
 		}
-		payload = NewSendPayload(queue, authorization, idempotencyKey, idempotent, deadlineMs, priority, preemptible, cores, memoryGb, accelerators, contentType)
+		payload = NewSendPayload(queue, authorization, idempotencyKey, idempotent, resumable, deadlineMs, estimateMs, cores, memoryMb, accelerators)
 
 		return payload, nil
 	}
@@ -174,6 +192,11 @@
 			} else {
 				body = NewSendBadRequestResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
@@ -188,6 +211,11 @@
 			} else {
 				body = NewSendBusyResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusTooManyRequests)
 			return enc.Encode(body)
@@ -202,6 +230,11 @@
 			} else {
 				body = NewSendConflictResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusConflict)
 			return enc.Encode(body)
@@ -216,22 +249,13 @@
 			} else {
 				body = NewSendFailedResponseBody(res)
 			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusBadGateway)
-			return enc.Encode(body)
-		case "forbidden":
-			var res *requests.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewSendForbiddenResponseBody(res)
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusForbidden)
+			w.WriteHeader(http.StatusBadGateway)
 			return enc.Encode(body)
 		case "impossible":
 			var res *requests.Problem
@@ -244,6 +268,11 @@
 			} else {
 				body = NewSendImpossibleResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnprocessableEntity)
 			return enc.Encode(body)
@@ -258,6 +287,11 @@
 			} else {
 				body = NewSendNotFoundResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
@@ -272,6 +306,11 @@
 			} else {
 				body = NewSendTimeoutResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusRequestTimeout)
 			return enc.Encode(body)
@@ -286,6 +325,11 @@
 			} else {
 				body = NewSendTooLargeResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
 			return enc.Encode(body)
@@ -300,6 +344,11 @@
 			} else {
 				body = NewSendUnauthorizedResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
@@ -314,6 +363,11 @@
 			} else {
 				body = NewSendUnavailableResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
@@ -328,6 +382,11 @@
 			} else {
 				body = NewSendUnknownResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusGatewayTimeout)
 			return enc.Encode(body)
@@ -359,13 +418,12 @@
 			authorization  *string
 			idempotencyKey *string
 			idempotent     bool
-			deadlineMs     *int64
-			priority       string
-			preemptible    bool
-			cores          int
-			memoryGb       int
-			accelerators   int
-			contentType    *string
+			resumable      bool
+			deadlineMs     int64
+			estimateMs     int64
+			cores          float64
+			memoryMb       int64
+			accelerators   int64
 			err            error
 
 			params = mux.Vars(r)
@@ -394,73 +452,92 @@
 				idempotent = v
 			}
 		}
+		{
+			resumableRaw := r.Header.Get("Pollenford-Resumable")
+			if resumableRaw != "" {
+				v, err2 := strconv.ParseBool(resumableRaw)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("resumable", resumableRaw, "boolean"))
+				}
+				resumable = v
+			}
+		}
 		{
 			deadlineMsRaw := r.Header.Get("Pollenford-Deadline-Ms")
-			if deadlineMsRaw != "" {
+			if deadlineMsRaw == "" {
+				deadlineMs = 30000
+			} else {
 				v, err2 := strconv.ParseInt(deadlineMsRaw, 10, 64)
 				if err2 != nil {
 					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("deadline_ms", deadlineMsRaw, "integer"))
 				}
-				deadlineMs = &v
+				deadlineMs = v
 			}
 		}
-		priorityRaw := r.Header.Get("Pollenford-Priority")
-		if priorityRaw != "" {
-			priority = priorityRaw
-		} else {
-			priority = "normal"
+		if deadlineMs < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("deadline_ms", deadlineMs, 1, true))
 		}
-		if !(priority == "urgent" || priority == "normal") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("priority", priority, []any{"urgent", "normal"}))
+		if deadlineMs > 600000 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("deadline_ms", deadlineMs, 600000, false))
 		}
 		{
-			preemptibleRaw := r.Header.Get("Pollenford-Preemptible")
-			if preemptibleRaw != "" {
-				v, err2 := strconv.ParseBool(preemptibleRaw)
+			estimateMsRaw := r.Header.Get("Pollenford-Estimate-Ms")
+			if estimateMsRaw != "" {
+				v, err2 := strconv.ParseInt(estimateMsRaw, 10, 64)
 				if err2 != nil {
-					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("preemptible", preemptibleRaw, "boolean"))
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("estimate_ms", estimateMsRaw, "integer"))
 				}
-				preemptible = v
+				estimateMs = v
 			}
 		}
+		if estimateMs < 0 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("estimate_ms", estimateMs, 0, true))
+		}
 		{
 			coresRaw := r.Header.Get("Pollenford-Cores")
-			if coresRaw != "" {
-				v, err2 := strconv.ParseInt(coresRaw, 10, strconv.IntSize)
+			if coresRaw == "" {
+				cores = 1
+			} else {
+				v, err2 := strconv.ParseFloat(coresRaw, 64)
 				if err2 != nil {
-					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("cores", coresRaw, "integer"))
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("cores", coresRaw, "float"))
 				}
-				cores = int(v)
+				cores = v
 			}
 		}
+		if cores < 0 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("cores", cores, 0, true))
+		}
 		{
-			memoryGbRaw := r.Header.Get("Pollenford-Memory-Gb")
-			if memoryGbRaw != "" {
-				v, err2 := strconv.ParseInt(memoryGbRaw, 10, strconv.IntSize)
+			memoryMbRaw := r.Header.Get("Pollenford-Memory-Mb")
+			if memoryMbRaw != "" {
+				v, err2 := strconv.ParseInt(memoryMbRaw, 10, 64)
 				if err2 != nil {
-					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("memory_gb", memoryGbRaw, "integer"))
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("memory_mb", memoryMbRaw, "integer"))
 				}
-				memoryGb = int(v)
+				memoryMb = v
 			}
 		}
+		if memoryMb < 0 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("memory_mb", memoryMb, 0, true))
+		}
 		{
 			acceleratorsRaw := r.Header.Get("Pollenford-Accelerators")
 			if acceleratorsRaw != "" {
-				v, err2 := strconv.ParseInt(acceleratorsRaw, 10, strconv.IntSize)
+				v, err2 := strconv.ParseInt(acceleratorsRaw, 10, 64)
 				if err2 != nil {
 					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("accelerators", acceleratorsRaw, "integer"))
 				}
-				accelerators = int(v)
+				accelerators = v
 			}
 		}
-		contentTypeRaw := r.Header.Get("Content-Type")
-		if contentTypeRaw != "" {
-			contentType = &contentTypeRaw
+		if accelerators < 0 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("accelerators", accelerators, 0, true))
 		}
 		if err != nil {
 			return payload, err
 		}
-		payload = NewSubmitPayload(queue, authorization, idempotencyKey, idempotent, deadlineMs, priority, preemptible, cores, memoryGb, accelerators, contentType)
+		payload = NewSubmitPayload(queue, authorization, idempotencyKey, idempotent, resumable, deadlineMs, estimateMs, cores, memoryMb, accelerators)
 
 		return payload, nil
 	}
@@ -487,6 +564,11 @@
 			} else {
 				body = NewSubmitBadRequestResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
@@ -501,6 +583,11 @@
 			} else {
 				body = NewSubmitBusyResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusTooManyRequests)
 			return enc.Encode(body)
@@ -515,6 +602,11 @@
 			} else {
 				body = NewSubmitConflictResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusConflict)
 			return enc.Encode(body)
@@ -529,22 +621,13 @@
 			} else {
 				body = NewSubmitFailedResponseBody(res)
 			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusBadGateway)
-			return enc.Encode(body)
-		case "forbidden":
-			var res *requests.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewSubmitForbiddenResponseBody(res)
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusForbidden)
+			w.WriteHeader(http.StatusBadGateway)
 			return enc.Encode(body)
 		case "impossible":
 			var res *requests.Problem
@@ -557,6 +640,11 @@
 			} else {
 				body = NewSubmitImpossibleResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnprocessableEntity)
 			return enc.Encode(body)
@@ -571,6 +659,11 @@
 			} else {
 				body = NewSubmitNotFoundResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
@@ -585,6 +678,11 @@
 			} else {
 				body = NewSubmitTimeoutResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusRequestTimeout)
 			return enc.Encode(body)
@@ -599,6 +697,11 @@
 			} else {
 				body = NewSubmitTooLargeResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
 			return enc.Encode(body)
@@ -613,6 +716,11 @@
 			} else {
 				body = NewSubmitUnauthorizedResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
@@ -627,6 +735,11 @@
 			} else {
 				body = NewSubmitUnavailableResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
@@ -641,6 +754,11 @@
 			} else {
 				body = NewSubmitUnknownResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusGatewayTimeout)
 			return enc.Encode(body)
@@ -707,6 +825,11 @@
 			} else {
 				body = NewJobBadRequestResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
@@ -721,6 +844,11 @@
 			} else {
 				body = NewJobBusyResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusTooManyRequests)
 			return enc.Encode(body)
@@ -735,6 +863,11 @@
 			} else {
 				body = NewJobConflictResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusConflict)
 			return enc.Encode(body)
@@ -749,22 +882,13 @@
 			} else {
 				body = NewJobFailedResponseBody(res)
 			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusBadGateway)
-			return enc.Encode(body)
-		case "forbidden":
-			var res *requests.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewJobForbiddenResponseBody(res)
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusForbidden)
+			w.WriteHeader(http.StatusBadGateway)
 			return enc.Encode(body)
 		case "impossible":
 			var res *requests.Problem
@@ -777,6 +901,11 @@
 			} else {
 				body = NewJobImpossibleResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnprocessableEntity)
 			return enc.Encode(body)
@@ -791,6 +920,11 @@
 			} else {
 				body = NewJobNotFoundResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
@@ -805,6 +939,11 @@
 			} else {
 				body = NewJobTimeoutResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusRequestTimeout)
 			return enc.Encode(body)
@@ -819,6 +958,11 @@
 			} else {
 				body = NewJobTooLargeResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
 			return enc.Encode(body)
@@ -833,6 +977,11 @@
 			} else {
 				body = NewJobUnauthorizedResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
@@ -847,6 +996,11 @@
 			} else {
 				body = NewJobUnavailableResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
@@ -861,6 +1015,11 @@
 			} else {
 				body = NewJobUnknownResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusGatewayTimeout)
 			return enc.Encode(body)
@@ -875,7 +1034,7 @@
 func EncodeJobAnswerResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
 	return func(ctx context.Context, w http.ResponseWriter, v any) error {
 		res, _ := v.(*requests.Answer)
-		w.Header().Set("Pollenford-Request", res.RequestID)
+		w.Header().Set("Pollenford-Job", res.JobID)
 		w.Header().Set("Content-Type", res.ContentType)
 		{
 			val := res.Length
@@ -932,6 +1091,11 @@
 			} else {
 				body = NewJobAnswerBadRequestResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
@@ -946,6 +1110,11 @@
 			} else {
 				body = NewJobAnswerBusyResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusTooManyRequests)
 			return enc.Encode(body)
@@ -960,6 +1129,11 @@
 			} else {
 				body = NewJobAnswerConflictResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusConflict)
 			return enc.Encode(body)
@@ -974,22 +1148,13 @@
 			} else {
 				body = NewJobAnswerFailedResponseBody(res)
 			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusBadGateway)
-			return enc.Encode(body)
-		case "forbidden":
-			var res *requests.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewJobAnswerForbiddenResponseBody(res)
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusForbidden)
+			w.WriteHeader(http.StatusBadGateway)
 			return enc.Encode(body)
 		case "impossible":
 			var res *requests.Problem
@@ -1002,6 +1167,11 @@
 			} else {
 				body = NewJobAnswerImpossibleResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnprocessableEntity)
 			return enc.Encode(body)
@@ -1016,6 +1186,11 @@
 			} else {
 				body = NewJobAnswerNotFoundResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
@@ -1030,6 +1205,11 @@
 			} else {
 				body = NewJobAnswerTimeoutResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusRequestTimeout)
 			return enc.Encode(body)
@@ -1044,6 +1224,11 @@
 			} else {
 				body = NewJobAnswerTooLargeResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
 			return enc.Encode(body)
@@ -1058,6 +1243,11 @@
 			} else {
 				body = NewJobAnswerUnauthorizedResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
@@ -1072,6 +1262,11 @@
 			} else {
 				body = NewJobAnswerUnavailableResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
@@ -1086,6 +1281,11 @@
 			} else {
 				body = NewJobAnswerUnknownResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusGatewayTimeout)
 			return enc.Encode(body)
@@ -1152,6 +1352,11 @@
 			} else {
 				body = NewCancelBadRequestResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
@@ -1166,6 +1371,11 @@
 			} else {
 				body = NewCancelBusyResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusTooManyRequests)
 			return enc.Encode(body)
@@ -1180,6 +1390,11 @@
 			} else {
 				body = NewCancelConflictResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusConflict)
 			return enc.Encode(body)
@@ -1194,22 +1409,13 @@
 			} else {
 				body = NewCancelFailedResponseBody(res)
 			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusBadGateway)
-			return enc.Encode(body)
-		case "forbidden":
-			var res *requests.Problem
-			errors.As(v, &res)
-			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewCancelForbiddenResponseBody(res)
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusForbidden)
+			w.WriteHeader(http.StatusBadGateway)
 			return enc.Encode(body)
 		case "impossible":
 			var res *requests.Problem
@@ -1222,6 +1428,11 @@
 			} else {
 				body = NewCancelImpossibleResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnprocessableEntity)
 			return enc.Encode(body)
@@ -1236,6 +1447,11 @@
 			} else {
 				body = NewCancelNotFoundResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
@@ -1250,6 +1466,11 @@
 			} else {
 				body = NewCancelTimeoutResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusRequestTimeout)
 			return enc.Encode(body)
@@ -1264,6 +1485,11 @@
 			} else {
 				body = NewCancelTooLargeResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
 			return enc.Encode(body)
@@ -1278,6 +1504,11 @@
 			} else {
 				body = NewCancelUnauthorizedResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
@@ -1292,6 +1523,11 @@
 			} else {
 				body = NewCancelUnavailableResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
@@ -1306,6 +1542,11 @@
 			} else {
 				body = NewCancelUnknownResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusGatewayTimeout)
 			return enc.Encode(body)
--- a/gen/http/requests/server/types.go
+++ b/gen/http/requests/server/types.go
@@ -20,8 +20,6 @@
 	Status string `form:"status" json:"status" xml:"status"`
 	// What is known about the work when it has no answer
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Why the job has no answer
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 }
 
 // JobResponseBody is the type of the "requests" service "job" endpoint HTTP
@@ -33,8 +31,6 @@
 	Status string `form:"status" json:"status" xml:"status"`
 	// What is known about the work when it has no answer
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Why the job has no answer
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 }
 
 // CancelResponseBody is the type of the "requests" service "cancel" endpoint
@@ -46,8 +42,6 @@
 	Status string `form:"status" json:"status" xml:"status"`
 	// What is known about the work when it has no answer
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Why the job has no answer
-	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 }
 
 // SendBadRequestResponseBody is the type of the "requests" service "send"
@@ -67,10 +61,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -92,10 +86,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -117,10 +111,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -142,35 +136,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// SendForbiddenResponseBody is the type of the "requests" service "send"
-// endpoint HTTP response body for the "forbidden" error.
-type SendForbiddenResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -192,10 +161,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -217,10 +186,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -242,10 +211,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -267,10 +236,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -292,10 +261,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -317,10 +286,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -342,10 +311,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -367,10 +336,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -392,10 +361,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -417,10 +386,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -442,35 +411,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// SubmitForbiddenResponseBody is the type of the "requests" service "submit"
-// endpoint HTTP response body for the "forbidden" error.
-type SubmitForbiddenResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -492,10 +436,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -517,10 +461,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -542,10 +486,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -567,10 +511,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -592,10 +536,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -617,10 +561,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -642,10 +586,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -667,10 +611,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -692,10 +636,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -717,10 +661,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -742,35 +686,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// JobForbiddenResponseBody is the type of the "requests" service "job"
-// endpoint HTTP response body for the "forbidden" error.
-type JobForbiddenResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -792,10 +711,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -817,10 +736,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -842,10 +761,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -867,10 +786,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -892,10 +811,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -917,10 +836,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -942,10 +861,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -967,10 +886,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -992,10 +911,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1017,10 +936,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1042,35 +961,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// JobAnswerForbiddenResponseBody is the type of the "requests" service
-// "job_answer" endpoint HTTP response body for the "forbidden" error.
-type JobAnswerForbiddenResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1092,10 +986,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1117,10 +1011,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1142,10 +1036,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1167,10 +1061,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1192,10 +1086,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1217,10 +1111,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1242,10 +1136,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1267,10 +1161,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1292,10 +1186,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1317,10 +1211,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1342,35 +1236,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
-	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
-	// Everything that was found wrong
-	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
-}
-
-// CancelForbiddenResponseBody is the type of the "requests" service "cancel"
-// endpoint HTTP response body for the "forbidden" error.
-type CancelForbiddenResponseBody struct {
-	// Error name
-	Name string `form:"name" json:"name" xml:"name"`
-	// URI reference that identifies the problem type
-	Type string `form:"type" json:"type" xml:"type"`
-	// Short summary of the problem type
-	Title string `form:"title" json:"title" xml:"title"`
-	// HTTP status
-	Status int `form:"status" json:"status" xml:"status"`
-	// What happened to this request
-	Detail string `form:"detail" json:"detail" xml:"detail"`
-	// What is known about the work
-	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Stable code of the reason
-	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1392,10 +1261,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1417,10 +1286,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1442,10 +1311,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1467,10 +1336,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1492,10 +1361,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1517,10 +1386,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1542,10 +1411,10 @@
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Stable code of the reason
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// Request ID
-	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Job ID
+	JobID *string `form:"job_id,omitempty" json:"job_id,omitempty" xml:"job_id,omitempty"`
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
+	CurrentVersion *int64 `form:"current_version,omitempty" json:"current_version,omitempty" xml:"current_version,omitempty"`
 	// Everything that was found wrong
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
@@ -1565,7 +1434,6 @@
 		ID:      res.ID,
 		Status:  res.Status,
 		Outcome: res.Outcome,
-		Detail:  res.Detail,
 	}
 	return body
 }
@@ -1577,7 +1445,6 @@
 		ID:      res.ID,
 		Status:  res.Status,
 		Outcome: res.Outcome,
-		Detail:  res.Detail,
 	}
 	return body
 }
@@ -1589,7 +1456,6 @@
 		ID:      res.ID,
 		Status:  res.Status,
 		Outcome: res.Outcome,
-		Detail:  res.Detail,
 	}
 	return body
 }
@@ -1605,7 +1471,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -1632,7 +1498,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -1659,7 +1525,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -1686,34 +1552,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalRequestsFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewSendForbiddenResponseBody builds the HTTP response body from the result
-// of the "send" endpoint of the "requests" service.
-func NewSendForbiddenResponseBody(res *requests.Problem) *SendForbiddenResponseBody {
-	body := &SendForbiddenResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -1740,7 +1579,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -1767,7 +1606,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -1794,7 +1633,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -1821,7 +1660,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -1848,7 +1687,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -1875,7 +1714,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -1902,7 +1741,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -1929,7 +1768,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -1956,7 +1795,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -1983,7 +1822,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2010,34 +1849,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalRequestsFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewSubmitForbiddenResponseBody builds the HTTP response body from the result
-// of the "submit" endpoint of the "requests" service.
-func NewSubmitForbiddenResponseBody(res *requests.Problem) *SubmitForbiddenResponseBody {
-	body := &SubmitForbiddenResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2064,7 +1876,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2091,7 +1903,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2118,7 +1930,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2145,7 +1957,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2172,7 +1984,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2199,7 +2011,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2226,7 +2038,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2253,7 +2065,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2280,7 +2092,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2307,7 +2119,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2334,34 +2146,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalRequestsFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewJobForbiddenResponseBody builds the HTTP response body from the result of
-// the "job" endpoint of the "requests" service.
-func NewJobForbiddenResponseBody(res *requests.Problem) *JobForbiddenResponseBody {
-	body := &JobForbiddenResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2388,7 +2173,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2415,7 +2200,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2442,7 +2227,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2469,7 +2254,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2496,7 +2281,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2523,7 +2308,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2550,7 +2335,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2577,7 +2362,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2604,7 +2389,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2631,7 +2416,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2658,34 +2443,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalRequestsFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewJobAnswerForbiddenResponseBody builds the HTTP response body from the
-// result of the "job_answer" endpoint of the "requests" service.
-func NewJobAnswerForbiddenResponseBody(res *requests.Problem) *JobAnswerForbiddenResponseBody {
-	body := &JobAnswerForbiddenResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2712,7 +2470,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2739,7 +2497,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2766,7 +2524,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2793,7 +2551,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2820,7 +2578,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2847,7 +2605,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2874,7 +2632,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2901,7 +2659,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2928,7 +2686,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2955,7 +2713,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -2982,34 +2740,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
-		CurrentVersion: res.CurrentVersion,
-	}
-	if res.Findings != nil {
-		body.Findings = make([]*FindingResponseBody, len(res.Findings))
-		for i, val := range res.Findings {
-			if val == nil {
-				body.Findings[i] = nil
-				continue
-			}
-			body.Findings[i] = marshalRequestsFindingToFindingResponseBody(val)
-		}
-	}
-	return body
-}
-
-// NewCancelForbiddenResponseBody builds the HTTP response body from the result
-// of the "cancel" endpoint of the "requests" service.
-func NewCancelForbiddenResponseBody(res *requests.Problem) *CancelForbiddenResponseBody {
-	body := &CancelForbiddenResponseBody{
-		Name:           res.Name,
-		Type:           res.Type,
-		Title:          res.Title,
-		Status:         res.Status,
-		Detail:         res.Detail,
-		Outcome:        res.Outcome,
-		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -3036,7 +2767,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -3063,7 +2794,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -3090,7 +2821,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -3117,7 +2848,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -3144,7 +2875,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -3171,7 +2902,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -3198,7 +2929,7 @@
 		Detail:         res.Detail,
 		Outcome:        res.Outcome,
 		Reason:         res.Reason,
-		RequestID:      res.RequestID,
+		JobID:          res.JobID,
 		CurrentVersion: res.CurrentVersion,
 	}
 	if res.Findings != nil {
@@ -3215,37 +2946,35 @@
 }
 
 // NewSendPayload builds a requests service send endpoint payload.
-func NewSendPayload(queue string, authorization *string, idempotencyKey *string, idempotent bool, deadlineMs *int64, priority string, preemptible bool, cores int, memoryGb int, accelerators int, contentType *string) *requests.SendPayload {
+func NewSendPayload(queue string, authorization *string, idempotencyKey *string, idempotent bool, resumable bool, deadlineMs int64, estimateMs int64, cores float64, memoryMb int64, accelerators int64) *requests.SendPayload {
 	v := &requests.SendPayload{}
 	v.Queue = queue
 	v.Authorization = authorization
 	v.IdempotencyKey = idempotencyKey
 	v.Idempotent = idempotent
+	v.Resumable = resumable
 	v.DeadlineMs = deadlineMs
-	v.Priority = priority
-	v.Preemptible = preemptible
+	v.EstimateMs = estimateMs
 	v.Cores = cores
-	v.MemoryGb = memoryGb
+	v.MemoryMb = memoryMb
 	v.Accelerators = accelerators
-	v.ContentType = contentType
 
 	return v
 }
 
 // NewSubmitPayload builds a requests service submit endpoint payload.
-func NewSubmitPayload(queue string, authorization *string, idempotencyKey *string, idempotent bool, deadlineMs *int64, priority string, preemptible bool, cores int, memoryGb int, accelerators int, contentType *string) *requests.SubmitPayload {
+func NewSubmitPayload(queue string, authorization *string, idempotencyKey *string, idempotent bool, resumable bool, deadlineMs int64, estimateMs int64, cores float64, memoryMb int64, accelerators int64) *requests.SubmitPayload {
 	v := &requests.SubmitPayload{}
 	v.Queue = queue
 	v.Authorization = authorization
 	v.IdempotencyKey = idempotencyKey
 	v.Idempotent = idempotent
+	v.Resumable = resumable
 	v.DeadlineMs = deadlineMs
-	v.Priority = priority
-	v.Preemptible = preemptible
+	v.EstimateMs = estimateMs
 	v.Cores = cores
-	v.MemoryGb = memoryGb
+	v.MemoryMb = memoryMb
 	v.Accelerators = accelerators
-	v.ContentType = contentType
 
 	return v
 }
--- a/gen/requests/service.go
+++ b/gen/requests/service.go
@@ -12,10 +12,11 @@
 	"io"
 )
 
-// Work of teams: requests that are answered at once and jobs that are asked
-// after.
+// Work of organisations: requests that are answered at once and jobs that are
+// asked after.
 type Service interface {
-	// Runs a request and returns the backend server's whole answer.
+	// Runs a request as a job of one task and returns what the work left at its
+	// end.
 
 	// If body implements [io.WriterTo], that implementation will be used instead.
 	// Consider [goa.design/goa/v3/pkg.SkipResponseWriter] to adapt existing
@@ -25,7 +26,7 @@
 	Submit(context.Context, *SubmitPayload, io.ReadCloser) (res *Job, err error)
 	// Returns the state of a job.
 	JobEndpoint(context.Context, *JobPayload) (res *Job, err error)
-	// Returns the backend server's whole answer of a finished job.
+	// Returns what the work of a finished job left.
 
 	// If body implements [io.WriterTo], that implementation will be used instead.
 	// Consider [goa.design/goa/v3/pkg.SkipResponseWriter] to adapt existing
@@ -53,8 +54,8 @@
 
 // Answer is the result type of the requests service send method.
 type Answer struct {
-	// Request ID
-	RequestID string
+	// Job ID
+	JobID string
 	// Media type of the answer
 	ContentType string
 	// Length of the answer in bytes
@@ -67,7 +68,7 @@
 	Queue string
 	// Job ID
 	ID string
-	// Bearer and the team's key
+	// Bearer and the organisation's key
 	Authorization *string
 }
 
@@ -86,8 +87,6 @@
 	Status string
 	// What is known about the work when it has no answer
 	Outcome *string
-	// Why the job has no answer
-	Detail *string
 }
 
 // JobAnswerPayload is the payload type of the requests service job_answer
@@ -97,7 +96,7 @@
 	Queue string
 	// Job ID
 	ID string
-	// Bearer and the team's key
+	// Bearer and the organisation's key
 	Authorization *string
 }
 
@@ -107,7 +106,7 @@
 	Queue string
 	// Job ID
 	ID string
-	// Bearer and the team's key
+	// Bearer and the organisation's key
 	Authorization *string
 }
 
@@ -126,10 +125,12 @@
 	Outcome *string
 	// Stable code of the reason
 	Reason *string
-	// Request ID
-	RequestID *string
+	// Job ID
+	JobID *string
+	// Time in seconds after which another attempt may succeed
+	RetryAfter *int
 	// Configuration version in force, for conflicts
-	CurrentVersion *uint64
+	CurrentVersion *int64
 	// Everything that was found wrong
 	Findings []*Finding
 }
@@ -138,54 +139,48 @@
 type SendPayload struct {
 	// Queue name
 	Queue string
-	// Bearer and the team's key; absent for open queues
+	// Bearer and the organisation's key; absent for open queues
 	Authorization *string
-	// Caller's key for a request that must run at most once
+	// Caller's key: all requests with it are one job
 	IdempotencyKey *string
-	// Whether the request may run more than once
+	// Whether the work may run more than once
 	Idempotent bool
-	// Time in milliseconds after which the answer is useless; absent: the queue's
-	// default
-	DeadlineMs *int64
-	// Urgent work is served first within a team's share
-	Priority string
-	// Whether the work may be checkpointed or stopped for a team below its share
-	Preemptible bool
-	// Declared processor cores
-	Cores int
-	// Declared memory in gigabytes
-	MemoryGb int
-	// Declared accelerators
-	Accelerators int
-	// Media type of the body
-	ContentType *string
+	// Whether a run saves its progress and a later one resumes from it
+	Resumable bool
+	// Time in milliseconds after which the answer is useless
+	DeadlineMs int64
+	// Estimated run time in milliseconds
+	EstimateMs int64
+	// Processor cores that the work takes
+	Cores float64
+	// Memory in megabytes that the work takes
+	MemoryMb int64
+	// Accelerators that the work takes
+	Accelerators int64
 }
 
 // SubmitPayload is the payload type of the requests service submit method.
 type SubmitPayload struct {
 	// Queue name
 	Queue string
-	// Bearer and the team's key; absent for open queues
+	// Bearer and the organisation's key; absent for open queues
 	Authorization *string
-	// Caller's key for a request that must run at most once
+	// Caller's key: all requests with it are one job
 	IdempotencyKey *string
-	// Whether the request may run more than once
+	// Whether the work may run more than once
 	Idempotent bool
-	// Time in milliseconds after which the answer is useless; absent: the queue's
-	// default
-	DeadlineMs *int64
-	// Urgent work is served first within a team's share
-	Priority string
-	// Whether the work may be checkpointed or stopped for a team below its share
-	Preemptible bool
-	// Declared processor cores
-	Cores int
-	// Declared memory in gigabytes
-	MemoryGb int
-	// Declared accelerators
-	Accelerators int
-	// Media type of the body
-	ContentType *string
+	// Whether a run saves its progress and a later one resumes from it
+	Resumable bool
+	// Time in milliseconds after which the answer is useless
+	DeadlineMs int64
+	// Estimated run time in milliseconds
+	EstimateMs int64
+	// Processor cores that the work takes
+	Cores float64
+	// Memory in megabytes that the work takes
+	MemoryMb int64
+	// Accelerators that the work takes
+	Accelerators int64
 }
 
 // Error returns an error description.
--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
+	"crypto/sha256"
 	"crypto/subtle"
-	"encoding/base64"
+	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"io"
 	"mime"
 	"net/http"
@@ -14,56 +13,32 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
 
 	"github.com/pollenford/pollenford/gen/admin"
 	"github.com/pollenford/pollenford/internal/burn"
-	"github.com/pollenford/pollenford/internal/config"
+	"github.com/pollenford/pollenford/internal/entry"
 	"github.com/pollenford/pollenford/internal/finding"
-	"github.com/pollenford/pollenford/internal/fleet"
-	"github.com/pollenford/pollenford/internal/replica"
+	"github.com/pollenford/pollenford/internal/instances"
+	"github.com/pollenford/pollenford/internal/jobs"
+	"github.com/pollenford/pollenford/internal/operate"
 	"github.com/pollenford/pollenford/internal/settings"
+	"github.com/pollenford/pollenford/internal/topic"
 )
 
-// submitWait bounds how long an operator waits for a verdict.
-const submitWait = 5 * time.Second
-
-// Submitter appends a record and returns the fold's verdict.
-type Submitter interface {
-	Submit(ctx context.Context, record fleet.Record) (fleet.Verdict, error)
-}
-
-// Progress waits until the entry instances have applied a log offset.
-type Progress interface {
-	// WaitApplied returns when each member had applied the offset, or did not before ctx ended.
-	WaitApplied(ctx context.Context, offset uint64) []MemberProgress
-}
-
-// MemberProgress tells whether and when a member had applied an offset.
-type MemberProgress struct {
-	Member  string
-	InForce bool
-	After   time.Duration
-}
+// operateTimeout bounds a call of an operator: a few calls to the store, each of which takes some milliseconds.
+const operateTimeout = 5 * time.Second
 
 // Admin implements the admin service.
 type Admin struct {
-	State     *fleet.State
-	Submit    Submitter
-	Progress  Progress
-	Operators []settings.Operator
-	// MayPropose reports whether this entry instance hears a majority of the entry instances. Operator records are
-	// appended only then, so that any later majority contains a member that can learn of the record.
-	MayPropose func(now time.Time) bool
-	// Waves plans and measures waves.
-	Waves Waves
-	// Burn reports the service-level burn over all entry instances.
-	Burn func(ctx context.Context) burn.Report
-}
-
-func adminProblem(name, detail string) *admin.Problem {
-	status := adminStatus[name]
-	return &admin.Problem{Name: name, Type: problemType, Title: http.StatusText(status), Status: status, Detail: detail}
+	Entry     *entry.Entry
+	Publisher *operate.Publisher
+	// Operators returns who may use the service.
+	Operators func() []settings.Operator
+	// Burn reports the service-level burn as this entry instance counted it.
+	Burn func() burn.Report
+	Log  hclog.Logger
 }
 
 // adminStatus maps the error names of the admin service to their HTTP status.
@@ -77,225 +52,181 @@
 	"unknown":      http.StatusGatewayTimeout,
 }
 
+func adminProblem(name, detail string) *admin.Problem {
+	status := adminStatus[name]
+	return &admin.Problem{Name: name, Type: problemType, Title: http.StatusText(status), Status: status, Detail: detail}
+}
+
 // operator returns the name of the operator whose token was presented.
 func (a *Admin) operator(authorization *string) (string, error) {
-	if authorization != nil {
-		token, _ := strings.CutPrefix(*authorization, "Bearer ")
-		presented := []byte(digest(token))
-		for _, op := range a.Operators {
-			if subtle.ConstantTimeCompare(presented, []byte(strings.ToLower(op.TokenSHA256))) == 1 {
-				return op.Name, nil
-			}
+	sum := sha256.Sum256([]byte(key(authorization)))
+	presented := []byte(hex.EncodeToString(sum[:]))
+	for _, op := range a.Operators() {
+		if subtle.ConstantTimeCompare(presented, []byte(strings.ToLower(op.TokenSHA256))) == 1 {
+			return op.Name, nil
 		}
 	}
 	return "", adminProblem("unauthorized", "the operator token is missing or unknown")
 }
 
-// propose appends a record of an operator and turns its verdict into a result or a problem.
-func (a *Admin) propose(ctx context.Context, authorization, recordID *string, kind fleet.Kind, body any) (fleet.Verdict, error) {
-	operator, err := a.operator(authorization)
-	if err != nil {
-		return fleet.Verdict{}, err
-	}
-	if !a.MayPropose(time.Now()) {
-		return fleet.Verdict{}, adminProblem("unavailable", "this entry instance does not hear a majority; nothing was proposed")
-	}
-	id := uuid.NewString()
-	if recordID != nil {
-		id = *recordID
-	}
-	record, err := fleet.NewRecord(id, kind, operator, body)
-	if err != nil {
-		return fleet.Verdict{}, adminProblem("bad_request", err.Error())
-	}
-	ctx, cancel := context.WithTimeout(ctx, submitWait)
-	defer cancel()
-	verdict, err := a.Submit.Submit(ctx, record)
-	if err != nil {
-		return fleet.Verdict{}, submitProblem(id, err)
-	}
-	return verdict, verdictProblem(verdict)
-}
-
-// submitProblem tells a proposal that was not appended from one whose verdict is not known yet.
-func submitProblem(id string, err error) error {
+// published turns an error of the publisher into a problem.
+func published(err error) error {
+	var version *operate.VersionError
+	var findings finding.List
 	switch {
-	case errors.Is(err, replica.ErrTooLarge):
-		return adminProblem("bad_request", "the proposal is too large for the log; nothing was proposed")
-	case errors.Is(err, replica.ErrOverloaded):
-		return adminProblem("unavailable", "too many proposals wait for the log; this one was not proposed")
-	}
-	return adminProblem("unknown", "the verdict of record "+id+" is not known yet; ask again with the same record ID")
-}
-
-func verdictProblem(v fleet.Verdict) error {
-	switch v.Outcome {
-	case fleet.Accepted:
-		return nil
-	case fleet.Conflict:
-		p := adminProblem("conflict", "the configuration has version "+strconv.FormatUint(v.Version, 10))
-		p.CurrentVersion = &v.Version
+	case errors.As(err, &version):
+		p := adminProblem("conflict", err.Error())
+		p.CurrentVersion = &version.Current
 		return p
+	case errors.As(err, &findings):
+		p := adminProblem("refused", findings.Error())
+		for _, f := range findings {
+			p.Findings = append(p.Findings, &admin.Finding{Place: f.Place, Message: f.Message})
+		}
+		return p
+	case errors.Is(err, operate.ErrWaveExists):
+		return adminProblem("conflict", err.Error())
+	case errors.Is(err, operate.ErrNoConfig):
+		return adminProblem("not_found", err.Error())
+	case errors.Is(err, topic.ErrNotDone):
+		return adminProblem("unavailable", "nothing was published: "+err.Error())
 	}
-	p := adminProblem("refused", v.Findings.Error())
-	p.Findings = adminFindings(v.Findings)
-	return p
-}
-
-func adminFindings(list finding.List) []*admin.Finding {
-	out := make([]*admin.Finding, len(list))
-	for i, f := range list {
-		out[i] = &admin.Finding{Place: f.Place, Message: f.Message}
-	}
-	return out
+	return adminProblem("unknown", err.Error())
 }
 
-func (a *Admin) verdictResult(ctx context.Context, v fleet.Verdict, wait bool) *admin.Verdict {
-	res := &admin.Verdict{ID: v.ID, Outcome: string(v.Outcome), Version: v.Version, Offset: v.Offset, Findings: adminFindings(v.Findings)}
-	if !wait {
-		return res
-	}
-	for _, m := range a.Progress.WaitApplied(ctx, v.Offset) {
-		res.Members = append(res.Members, &admin.MemberProgress{Member: m.Member, InForce: m.InForce, AfterMs: m.After.Milliseconds()})
-	}
-	return res
+func configResult(doc operate.Document) *admin.Config {
+	return &admin.Config{Version: doc.Version, Document: doc.JSON}
 }
 
 // GetConfig implements the service method.
-func (a *Admin) GetConfig(_ context.Context, p *admin.GetConfigPayload) (*admin.GetConfigResult, error) {
+func (a *Admin) GetConfig(ctx context.Context, p *admin.GetConfigPayload) (*admin.Config, error) {
 	if _, err := a.operator(p.Authorization); err != nil {
 		return nil, err
 	}
-	doc, version := a.State.Config()
-	return &admin.GetConfigResult{Version: version, Document: doc}, nil
+	ctx, cancel := context.WithTimeout(ctx, operateTimeout)
+	defer cancel()
+	doc, err := a.Publisher.Config(ctx)
+	switch {
+	case errors.Is(err, operate.ErrNoConfig):
+		return &admin.Config{Document: json.RawMessage("{}")}, nil
+	case err != nil:
+		return nil, adminProblem("unavailable", err.Error())
+	}
+	return configResult(doc), nil
 }
 
 // PatchConfig implements the service method.
-func (a *Admin) PatchConfig(ctx context.Context, p *admin.PatchConfigPayload, body io.ReadCloser) (*admin.Verdict, error) {
-	if _, err := a.operator(p.Authorization); err != nil {
+func (a *Admin) PatchConfig(ctx context.Context, p *admin.PatchConfigPayload, body io.ReadCloser) (*admin.Config, error) {
+	operator, err := a.operator(p.Authorization)
+	if err != nil {
 		return nil, err
 	}
-	patch, err := patchBody(p, body)
+	version, format, patch, err := readPatch(p, body)
 	if err != nil {
 		return nil, err
 	}
-	verdict, err := a.propose(ctx, p.Authorization, p.RecordID, fleet.KindConfigPatch, patch)
+	ctx, cancel := context.WithTimeout(ctx, operateTimeout)
+	defer cancel()
+	doc, err := a.Publisher.Patch(ctx, version, format, patch)
+	a.Log.Info("configuration patched", "operator", operator, "version", version, "bytes", len(patch), "err", err)
 	if err != nil {
-		return nil, err
+		return nil, published(err)
 	}
-	return a.verdictResult(ctx, verdict, p.Wait), nil
+	return configResult(doc), nil
 }
 
-func patchBody(p *admin.PatchConfigPayload, body io.ReadCloser) (fleet.ConfigPatch, error) {
-	var patch fleet.ConfigPatch
-	if p.IfMatch == nil {
-		return patch, adminProblem("bad_request", "If-Match with the configuration version is required")
-	}
-	base, err := strconv.ParseUint(strings.Trim(*p.IfMatch, `"`), 10, 64)
+func readPatch(p *admin.PatchConfigPayload, body io.ReadCloser) (int64, operate.Format, []byte, error) {
+	version, err := strconv.ParseInt(strings.Trim(p.IfMatch, `"`), 10, 64)
 	if err != nil {
-		return patch, adminProblem("bad_request", "If-Match must be a configuration version")
+		return 0, "", nil, adminProblem("bad_request", "If-Match must be a configuration version")
 	}
-	data, err := io.ReadAll(io.LimitReader(body, config.MaxDocumentBytes+1))
-	if err != nil || len(data) > config.MaxDocumentBytes || !json.Valid(data) {
-		return patch, adminProblem("bad_request", "the patch is incomplete, too large or not JSON")
+	data, err := io.ReadAll(io.LimitReader(body, operate.MaxDocumentBytes+1))
+	if err != nil || len(data) > operate.MaxDocumentBytes || !json.Valid(data) {
+		return 0, "", nil, adminProblem("bad_request", "the patch is incomplete, too large or not JSON")
 	}
-	patch = fleet.ConfigPatch{Base: base, Format: config.MergePatch, Patch: data}
 	if p.ContentType != nil {
-		media, _, err := mime.ParseMediaType(*p.ContentType)
-		if err == nil && media == "application/json-patch+json" {
-			patch.Format = config.JSONPatch
+		if media, _, err := mime.ParseMediaType(*p.ContentType); err == nil && media == "application/json-patch+json" {
+			return version, operate.JSONPatch, data, nil
 		}
 	}
-	return patch, nil
+	return version, operate.MergePatch, data, nil
 }
 
-// ConfigHistory implements the service method.
-func (a *Admin) ConfigHistory(_ context.Context, p *admin.ConfigHistoryPayload) ([]*admin.Change, error) {
+// ShowFleet implements the service method.
+func (a *Admin) ShowFleet(ctx context.Context, p *admin.ShowFleetPayload) (*admin.FleetView, error) {
 	if _, err := a.operator(p.Authorization); err != nil {
 		return nil, err
 	}
-	res := []*admin.Change{}
-	for _, c := range a.State.History() {
-		res = append(res, &admin.Change{Version: c.Version, Offset: c.Offset, Record: c.Record, Author: &c.Author})
+	ctx, cancel := context.WithTimeout(ctx, operateTimeout)
+	defer cancel()
+	fleet, err := a.Entry.Fleet(ctx)
+	if err != nil {
+		return nil, adminProblem("unavailable", err.Error())
+	}
+	res := &admin.FleetView{Owner: fleet.Owner, Term: fleet.Fence, Workers: []*admin.WorkerView{}, Waves: []*admin.WaveView{}}
+	for _, w := range fleet.Workers {
+		res.Workers = append(res.Workers, &admin.WorkerView{
+			ID: w.ID, Pool: w.Pool, Zone: w.Zone, Rack: w.Rack, Instance: w.Instance, Phase: string(w.Phase), Runs: w.Runs,
+			UsedCores: float64(w.UsedCPU) / 1000, Cores: float64(w.CPU) / 1000,
+		})
+	}
+	for _, w := range fleet.Waves {
+		res.Waves = append(res.Waves, waveView(w))
 	}
 	return res, nil
 }
 
-// VerdictEndpoint implements the service method "verdict".
-func (a *Admin) VerdictEndpoint(ctx context.Context, p *admin.VerdictPayload) (*admin.Verdict, error) {
-	if _, err := a.operator(p.Authorization); err != nil {
-		return nil, err
-	}
-	v, ok := a.State.Verdict(p.ID)
-	if !ok {
-		return nil, adminProblem("not_found", "no verdict of this record is known; it may still take effect")
+func waveView(w jobs.Wave) *admin.WaveView {
+	view := &admin.WaveView{Number: w.Number, Status: "active", Total: w.Total, Begun: w.Begun}
+	if w.Completed {
+		view.Status = "completed"
 	}
-	return a.verdictResult(ctx, v, false), nil
+	return view
 }
 
-// secretBytes is the entropy of an issued key in bytes.
-const secretBytes = 24
-
-// IssueKey implements the service method. The secret is not kept; only its digest is recorded.
-func (a *Admin) IssueKey(ctx context.Context, p *admin.IssueKeyPayload) (*admin.IssueKeyResult, error) {
-	raw := make([]byte, secretBytes)
-	_, _ = rand.Read(raw) // crypto/rand.Read never fails
-	secret := "pf_" + base64.RawURLEncoding.EncodeToString(raw)
-	body := fleet.KeyIssue{Key: uuid.NewString(), Team: p.Team, Digest: digest(secret)}
-	verdict, err := a.propose(ctx, p.Authorization, p.RecordID, fleet.KindKeyIssue, body)
+// StartWave implements the service method.
+func (a *Admin) StartWave(ctx context.Context, p *admin.StartWavePayload) (*admin.WaveView, error) {
+	operator, err := a.operator(p.Authorization)
 	if err != nil {
 		return nil, err
 	}
-	if _, mine := a.State.KeyByDigest(body.Digest); !mine {
-		return nil, adminProblem("refused", "record "+verdict.ID+" issued a key before; its secret is not kept")
-	}
-	return &admin.IssueKeyResult{KeyID: body.Key, Key: secret, Verdict: a.verdictResult(ctx, verdict, false)}, nil
-}
-
-// WithdrawKey implements the service method.
-func (a *Admin) WithdrawKey(ctx context.Context, p *admin.WithdrawKeyPayload) (*admin.Verdict, error) {
-	verdict, err := a.propose(ctx, p.Authorization, p.RecordID, fleet.KindKeyWithdraw, fleet.KeyWithdraw{Key: p.KeyID})
+	ctx, cancel := context.WithTimeout(ctx, operateTimeout)
+	defer cancel()
+	err = a.Publisher.StartWave(ctx, &instances.Wave{
+		Number: p.Number, Instances: p.Instances, DeadlineS: p.DeadlineS, AtOnce: p.AtOnce,
+	})
+	a.Log.Info("wave published", "operator", operator, "wave", p.Number, "instances", len(p.Instances), "err", err)
 	if err != nil {
-		return nil, err
+		return nil, published(err)
 	}
-	return a.verdictResult(ctx, verdict, p.Wait), nil
+	return waveView(jobs.Wave{Number: p.Number, Total: len(p.Instances)}), nil
 }
 
-// ListKeys implements the service method.
-func (a *Admin) ListKeys(_ context.Context, p *admin.ListKeysPayload) ([]*admin.KeyView, error) {
+// ReportBurn implements the service method.
+func (a *Admin) ReportBurn(_ context.Context, p *admin.ReportBurnPayload) (*admin.BurnReport, error) {
 	if _, err := a.operator(p.Authorization); err != nil {
 		return nil, err
 	}
-	res := []*admin.KeyView{}
-	for _, k := range a.State.Keys() {
-		res = append(res, &admin.KeyView{KeyID: k.ID, Team: k.Team, Issued: k.Issued})
-	}
-	return res, nil
-}
-
-// ListInstances implements the service method.
-func (a *Admin) ListInstances(_ context.Context, p *admin.ListInstancesPayload) ([]*admin.InstanceView, error) {
-	if _, err := a.operator(p.Authorization); err != nil {
-		return nil, err
+	report := a.Burn()
+	res := &admin.BurnReport{
+		At: report.At.Format(time.RFC3339), Members: report.Members, Objectives: []*admin.BurnObjective{},
 	}
-	res := []*admin.InstanceView{}
-	for _, i := range a.State.Instances() {
-		res = append(res, &admin.InstanceView{
-			ID: i.ID, Pool: i.Pool, Zone: i.Zone, Rack: i.Rack, Phase: string(i.Phase), Healthy: i.Healthy,
-			Wave: &i.Wave, MaintainedIn: &i.MaintainedIn,
-		})
+	for _, o := range report.Objectives {
+		res.Objectives = append(res.Objectives, burnObjective(o))
 	}
 	return res, nil
 }
 
-// ListMembers implements the service method.
-func (a *Admin) ListMembers(_ context.Context, p *admin.ListMembersPayload) ([]*admin.MemberView, error) {
-	if _, err := a.operator(p.Authorization); err != nil {
-		return nil, err
+func burnObjective(o burn.Objective) *admin.BurnObjective {
+	out := &admin.BurnObjective{
+		Name: o.Name, Queue: o.Queue, Organisation: o.Organisation, Target: o.Target, LatencyMs: o.LatencyMS,
+		WindowHours: o.WindowHours, BudgetLeft: o.BudgetLeft, Windows: []*admin.BurnWindow{}, History: []*admin.BurnPoint{},
 	}
-	res := []*admin.MemberView{}
-	for _, m := range a.State.Membership().Members {
-		res = append(res, &admin.MemberView{Name: m.Name, Incarnation: m.Incarnation, Address: m.Address, Zone: m.Zone})
+	for _, w := range o.Windows {
+		out.Windows = append(out.Windows, &admin.BurnWindow{Seconds: w.Seconds, Good: w.Good, Bad: w.Bad, BurnRate: w.BurnRate})
 	}
-	return res, nil
+	for _, b := range o.History {
+		out.History = append(out.History, &admin.BurnPoint{Good: b.Good, Bad: b.Bad})
+	}
+	return out
 }
--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,327 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+
+	"github.com/pollenford/pollenford/internal/burn"
+	"github.com/pollenford/pollenford/internal/catalog"
+	"github.com/pollenford/pollenford/internal/entry"
+	"github.com/pollenford/pollenford/internal/jobs"
+	"github.com/pollenford/pollenford/internal/operate"
+	"github.com/pollenford/pollenford/internal/settings"
+	"github.com/pollenford/pollenford/internal/topic/topictest"
+	"github.com/pollenford/pollenford/internal/workload"
+	"github.com/pollenford/pollenford/platform"
+)
+
+// service is an owner that answers as a test says.
+type service struct {
+	submitErr error
+	status    jobs.Status
+	ends      bool // whether Await returns
+	submitted atomic.Pointer[workload.Job]
+	cancelled atomic.Bool
+	// fingerprint is that of the job which was handed in first.
+	fingerprint string
+}
+
+func (s *service) Submit(_ context.Context, job *workload.Job) error {
+	s.submitted.Store(job)
+	return s.submitErr
+}
+
+func (s *service) Status(context.Context, string, string) (jobs.Status, error) {
+	status := s.status
+	if status.Fingerprint = s.submitted.Load().Fingerprint; s.fingerprint != "" {
+		status.Fingerprint = s.fingerprint
+	}
+	if s.cancelled.Load() {
+		status.State = workload.Cancelled
+	}
+	return status, nil
+}
+
+func (s *service) Cancel(context.Context, string, string) error {
+	s.cancelled.Store(true)
+	return nil
+}
+
+func (s *service) Await(ctx context.Context, _, _ string) (jobs.Status, error) {
+	if s.ends {
+		return s.status, nil
+	}
+	<-ctx.Done()
+	return jobs.Status{}, jobs.ErrOutcomeUnknown
+}
+
+func (s *service) Pending(context.Context, string) (int, error) { return 0, nil }
+
+func (s *service) Fleet(context.Context) (jobs.Fleet, error) {
+	return jobs.Fleet{Owner: "entry-1", Fence: 7, Workers: []jobs.Worker{{ID: "w", Phase: jobs.Lost, CPU: 1500}}, Waves: []jobs.Wave{{Number: 3, Total: 2, Begun: 1}}}, nil
+}
+
+// world is the API of one entry instance.
+type world struct {
+	t     *testing.T
+	url   string
+	store *topictest.Store
+}
+
+// operatorDigest is the SHA-256 of "operator-token".
+const operatorDigest = "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e"
+
+func newWorld(t *testing.T, s *service) *world {
+	e := &entry.Entry{Local: func() jobs.Service { return s }, Log: hclog.NewNullLogger()}
+	e.SetCatalog(catalog.New(1, []*catalog.Queue{{Name: "q", Pool: "p"}, {Name: "open", Pool: "p", Open: true}}, nil,
+		[]*catalog.Organisation{{Name: "org", Keys: []string{"key"}}}, catalog.HTTPLimits{}))
+	w := &world{t: t, store: &topictest.Store{}}
+	handler := NewHandler(
+		&Requests{Entry: e, Observe: func(string, string, bool, time.Duration) {}, Log: hclog.NewNullLogger()},
+		&Admin{
+			Entry: e, Publisher: &operate.Publisher{Store: w.store, Codec: platform.Codec{}}, Log: hclog.NewNullLogger(),
+			Operators: func() []settings.Operator { return []settings.Operator{{Name: "op", TokenSHA256: operatorDigest}} },
+			Burn:      func() burn.Report { return burn.Report{Members: []string{"entry-1"}} },
+		},
+		&Health{NotReady: func() string { return "stopping" }},
+		func(_ context.Context, _ http.ResponseWriter, err error) { t.Error(err) },
+	)
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	w.url = server.URL
+	return w
+}
+
+// response is an answer with the fields of a problem document, if it is one.
+type response struct {
+	status  int
+	body    string
+	header  http.Header
+	problem problemBody
+}
+
+func (w *world) call(method, path, token, body string, header ...string) response {
+	w.t.Helper()
+	req, err := http.NewRequest(method, w.url+path, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r := response{status: res.StatusCode, body: string(data), header: res.Header}
+	if res.StatusCode >= http.StatusBadRequest {
+		if err := json.Unmarshal(data, &r.problem); err != nil || res.Header.Get("Content-Type") != problemMediaType {
+			w.t.Errorf("%s %s: %d is no problem document: %v %s", method, path, res.StatusCode, err, data)
+		}
+	}
+	return r
+}
+
+func (r response) outcome() string {
+	if r.problem.Outcome == nil || r.problem.Reason == nil {
+		return ""
+	}
+	return *r.problem.Outcome + " " + *r.problem.Reason
+}
+
+// Guards the truth of every answer: what is certain not to have run is told so, what failed and what is unknown too, and
+// only what may succeed later has a time to return.
+func TestAnswersTellWhatIsKnown(t *testing.T) {
+	for name, c := range map[string]struct {
+		service    *service
+		status     int
+		outcome    string
+		retryAfter string
+	}{
+		"done":        {&service{ends: true, status: jobs.Status{State: workload.Completed, Answer: `{"a":1}`}}, 200, "", ""},
+		"failed":      {&service{ends: true, status: jobs.Status{State: workload.Failed}}, 502, "failed failed", ""},
+		"cut off":     {&service{ends: true, status: jobs.Status{State: workload.Failed, Interrupted: true}}, 504, "unknown interrupted", ""},
+		"cancelled":   {&service{ends: true, status: jobs.Status{State: workload.Cancelled}}, 409, "not-run cancelled", ""},
+		"cancelled 2": {&service{ends: true, status: jobs.Status{State: workload.Cancelled, Begun: true}}, 409, "unknown cancelled", ""},
+		"full":        {&service{submitErr: &jobs.Rejection{Overloaded: true, RetryAfter: 1500 * time.Millisecond}}, 429, "not-run rejected", "2"},
+		"no owner":    {&service{submitErr: &jobs.Rejection{RetryAfter: time.Second}}, 503, "not-run rejected", "1"},
+		"too large":   {&service{submitErr: &jobs.Rejection{Permanent: true}}, 422, "not-run rejected", ""},
+		"no answer":   {&service{submitErr: jobs.ErrOutcomeUnknown}, 504, "unknown no-answer", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newWorld(t, c.service).call("POST", "/v1/queues/q/requests", "key", "work", "Pollenford-Deadline-Ms", "600")
+			if r.status != c.status || r.outcome() != c.outcome || r.header.Get("Retry-After") != c.retryAfter {
+				t.Errorf("%d %q, return after %q, want %d %q %q: %s", r.status, r.outcome(), r.header.Get("Retry-After"), c.status, c.outcome, c.retryAfter, r.body)
+			}
+			if c.status == 200 && (r.body != `{"a":1}` || r.header.Get("Content-Type") != "application/json") {
+				t.Errorf("answer %s of type %s", r.body, r.header.Get("Content-Type"))
+			}
+		})
+	}
+}
+
+// Guards the deadline: a request without a key is withdrawn, and is "not run" only if it never began; one with a key goes
+// on, because its client can ask again.
+func TestDeadline(t *testing.T) {
+	for name, c := range map[string]struct {
+		begun     bool
+		key       string
+		status    int
+		outcome   string
+		cancelled bool
+	}{
+		"never began": {false, "", 408, "not-run deadline", true},
+		"running":     {true, "", 504, "unknown deadline", true},
+		"with a key":  {false, "k1", 504, "unknown deadline", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &service{status: jobs.Status{Begun: c.begun}}
+			header := []string{"Pollenford-Deadline-Ms", "300"}
+			if c.key != "" {
+				header = append(header, "Idempotency-Key", c.key)
+			}
+			r := newWorld(t, s).call("POST", "/v1/queues/q/requests", "key", "work", header...)
+			if r.status != c.status || r.outcome() != c.outcome || s.cancelled.Load() != c.cancelled {
+				t.Errorf("%d %q, cancelled %v, want %+v", r.status, r.outcome(), s.cancelled.Load(), c)
+			}
+		})
+	}
+}
+
+// Guards idempotency keys: the same key is the same job for one organisation and queue, and a key that came with another
+// request is refused instead of answered with a stranger's answer.
+func TestIdempotencyKey(t *testing.T) {
+	s := &service{}
+	w := newWorld(t, s)
+	id := func(path, token, body, key string) string {
+		r := w.call("POST", path, token, body, "Idempotency-Key", key)
+		if r.status != http.StatusAccepted {
+			t.Fatalf("%d %s", r.status, r.body)
+		}
+		return s.submitted.Load().ID
+	}
+	first := id("/v1/queues/q/jobs", "key", "work", "k")
+	if id("/v1/queues/q/jobs", "key", "work", "k") != first {
+		t.Error("a repeated key is another job")
+	}
+	for name, other := range map[string]string{
+		"key": id("/v1/queues/q/jobs", "key", "work", "k2"), "queue": id("/v1/queues/open/jobs", "key", "work", "k"),
+		"organisation": id("/v1/queues/open/jobs", "", "work", "k"),
+	} {
+		if other == first {
+			t.Errorf("another %s is the same job", name)
+		}
+	}
+	s.fingerprint = "another"
+	if r := w.call("POST", "/v1/queues/q/jobs", "key", "other work", "Idempotency-Key", "k"); r.status != 409 || r.outcome() != "not-run key-reused" {
+		t.Errorf("%d %s", r.status, r.body)
+	}
+}
+
+// Guards admission: nothing malformed and nobody without the key reaches the owner.
+func TestAdmission(t *testing.T) {
+	s := &service{}
+	w := newWorld(t, s)
+	for name, c := range map[string]struct {
+		path, token, body string
+		header            []string
+		status            int
+		outcome           string
+	}{
+		"unknown queue": {"/v1/queues/none/jobs", "key", "", nil, 404, "not-run unknown-queue"},
+		"no key":        {"/v1/queues/q/jobs", "", "", nil, 401, "not-run bad-key"},
+		"wrong key":     {"/v1/queues/q/jobs", "none", "", nil, 401, "not-run bad-key"},
+		"too large":     {"/v1/queues/q/jobs", "key", strings.Repeat("x", workload.MaxSpec+1), nil, 413, "not-run too-large"},
+		"not text":      {"/v1/queues/q/jobs", "key", "\xff", nil, 400, "not-run malformed"},
+		"bad deadline":  {"/v1/queues/q/jobs", "key", "", []string{"Pollenford-Deadline-Ms", "soon"}, 400, "not-run malformed"},
+		"bad amount":    {"/v1/queues/q/jobs", "key", "", []string{"Pollenford-Cores", "-1"}, 400, "not-run malformed"},
+	} {
+		r := w.call("POST", c.path, c.token, c.body, c.header...)
+		if r.status != c.status || r.outcome() != c.outcome {
+			t.Errorf("%s: %d %q, want %d %q", name, r.status, r.outcome(), c.status, c.outcome)
+		}
+	}
+	if s.submitted.Load() != nil {
+		t.Error("a refused request reached the owner")
+	}
+	if r := w.call("POST", "/v1/queues/open/jobs", "", "work", "Pollenford-Cores", "1.5", "Pollenford-Idempotent", "true"); r.status != http.StatusAccepted {
+		t.Fatalf("open queue: %d %s", r.status, r.body)
+	}
+	if job := s.submitted.Load(); job.Steps[0].Need.CPU != 1500 || job.Steps[0].Once || job.Spec != "work" || job.Organisation != "" {
+		t.Errorf("handed in %+v", job)
+	}
+}
+
+// Guards what operators see and change, and that nobody else does.
+func TestAdministration(t *testing.T) {
+	w := newWorld(t, &service{})
+	const operator = "operator-token"
+	for _, path := range []string{"/config", "/fleet", "/burn"} {
+		if r := w.call("GET", "/v1/admin"+path, "key", ""); r.status != 401 {
+			t.Errorf("%s without the operator's token: %d", path, r.status)
+		}
+	}
+	patch := func(version, body string) response {
+		return w.call("PATCH", "/v1/admin/config", operator, body, "If-Match", version, "Content-Type", "application/merge-patch+json")
+	}
+	document := `{"routes":[{"name":"q","host":"h","path_prefix":"/","service":"p"}],"services":[{"name":"p"}]}`
+	if r := patch("0", document); r.status != 200 || !strings.Contains(r.body, `"version":1`) {
+		t.Fatalf("first patch: %d %s", r.status, r.body)
+	}
+	if r := patch("0", document); r.status != 412 || r.problem.CurrentVersion == nil || *r.problem.CurrentVersion != 1 {
+		t.Errorf("old version: %d %s", r.status, r.body)
+	}
+	if r := patch("1", `{"services":[]}`); r.status != 422 || len(r.problem.Findings) != 1 {
+		t.Errorf("bad document: %d %s", r.status, r.body)
+	}
+	if r := patch("one", `{}`); r.status != 400 {
+		t.Errorf("bad version: %d %s", r.status, r.body)
+	}
+	if r := w.call("GET", "/v1/admin/config", operator, ""); r.status != 200 || !strings.Contains(r.body, `"path_prefix":"/"`) {
+		t.Errorf("configuration: %d %s", r.status, r.body)
+	}
+	if r := w.call("GET", "/v1/admin/fleet", operator, ""); !strings.Contains(r.body, `"phase":"lost"`) || !strings.Contains(r.body, `"cores":1.5`) || !strings.Contains(r.body, `"begun":1`) {
+		t.Errorf("fleet: %s", r.body)
+	}
+	wave := func() response {
+		return w.call("POST", "/v1/admin/waves", operator, `{"number":4,"instances":["a"]}`, "Content-Type", "application/json")
+	}
+	if r := wave(); r.status != 201 {
+		t.Errorf("wave: %d %s", r.status, r.body)
+	}
+	if r := wave(); r.status != 412 {
+		t.Errorf("the same wave: %d %s", r.status, r.body)
+	}
+	w.store.Set(topictest.Faults{Down: true})
+	if r := patch("1", `{}`); r.status != 503 && r.status != 504 {
+		t.Errorf("without the store: %d %s", r.status, r.body)
+	}
+	if r := w.call("GET", "/readyz", "", ""); r.status != 503 || r.problem.Detail != "stopping" {
+		t.Errorf("readiness: %d %s", r.status, r.body)
+	}
+}
+
+// Guards errors of another kind than the ones above against being told as "not run".
+func TestUnexpectedErrorIsUnknown(t *testing.T) {
+	if p := problem(errors.New("odd"), "id"); p.Status != http.StatusGatewayTimeout || *p.Outcome != unknown || *p.JobID != "id" {
+		t.Errorf("%+v", p)
+	}
+}
--- a/internal/api/problem.go
+++ b/internal/api/problem.go
@@ -1,28 +1,59 @@
-// Package api implements the goa services for callers, operators and health checks on top of an entry instance.
+// Package api implements the goa services for clients and operators on top of an entry instance.
 package api
 
 import (
 	"context"
+	"math"
 	"net/http"
 
+	"github.com/juju/errors"
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
 
 	"github.com/pollenford/pollenford/gen/admin"
 	"github.com/pollenford/pollenford/gen/health"
 	"github.com/pollenford/pollenford/gen/requests"
+	"github.com/pollenford/pollenford/internal/entry"
 	"github.com/pollenford/pollenford/internal/finding"
-	"github.com/pollenford/pollenford/internal/work"
+	"github.com/pollenford/pollenford/internal/jobs"
 )
 
 // problemType is the URI reference of a problem without a page of its own (RFC 9457, section 4.2.1).
 const problemType = "about:blank"
 
-// errorStatus maps the error names of the requests service to their HTTP status.
-var errorStatus = map[string]int{
+// What is known about work that has no answer.
+const (
+	notRun  = "not-run"
+	failed  = "failed"
+	unknown = "unknown"
+)
+
+// Stable codes of reasons.
+const (
+	reasonMalformed    = "malformed"
+	reasonSlowBody     = "slow-body"
+	reasonTooLarge     = "too-large"
+	reasonUnknownQueue = "unknown-queue"
+	reasonBadKey       = "bad-key"
+	reasonNotReady     = "not-ready"
+	reasonRejected     = "rejected"
+	reasonNoSuchJob    = "no-such-job"
+	reasonKeyReused    = "key-reused"
+	reasonDeadline     = "deadline"
+	reasonFailed       = "failed"
+	reasonInterrupted  = "interrupted"
+	reasonCancelled    = "cancelled"
+	reasonNoAnswer     = "no-answer"
+	reasonNotEnded     = "not-ended"
+)
+
+// notReadyRetry is when a client should return before the first configuration has arrived, in seconds.
+const notReadyRetry = 1
+
+// requestStatus maps the error names of the requests service to their HTTP status.
+var requestStatus = map[string]int{
 	"bad_request":  http.StatusBadRequest,
 	"unauthorized": http.StatusUnauthorized,
-	"forbidden":    http.StatusForbidden,
 	"not_found":    http.StatusNotFound,
 	"timeout":      http.StatusRequestTimeout,
 	"conflict":     http.StatusConflict,
@@ -34,51 +65,55 @@
 	"unknown":      http.StatusGatewayTimeout,
 }
 
-// reasonError maps the reason of a refusal that is "not run" to an error name of the design.
-var reasonError = map[work.Reason]string{
-	work.ReasonMalformed:      "bad_request",
-	work.ReasonSlowBody:       "timeout",
-	work.ReasonUnknownQueue:   "not_found",
-	work.ReasonBadKey:         "unauthorized",
-	work.ReasonTeamNotAllowed: "forbidden",
-	work.ReasonTooLarge:       "too_large",
-	work.ReasonDeadline:       "timeout",
-	work.ReasonImpossible:     "impossible",
-	work.ReasonQueueFull:      "busy",
-	work.ReasonCancelled:      "conflict",
-	work.ReasonNotFresh:       "unavailable",
-	work.ReasonNoClaim:        "unavailable",
-	work.ReasonKeyReused:      "conflict",
-	work.ReasonDuplicate:      "conflict",
-	work.ReasonNoWorker:       "unavailable",
-	work.ReasonWorker:         "unavailable",
-	work.ReasonStopping:       "unavailable",
+func newProblem(name, outcome, reason, jobID, detail string) *requests.Problem {
+	p := &requests.Problem{
+		Name: name, Type: problemType, Title: http.StatusText(requestStatus[name]), Status: requestStatus[name],
+		Detail: detail, Outcome: &outcome, Reason: &reason,
+	}
+	if jobID != "" {
+		p.JobID = &jobID
+	}
+	return p
 }
 
-// problem turns a refusal into the error of the requests service.
-func problem(r *work.Refusal) *requests.Problem {
-	name := reasonError[r.Reason]
+// problem turns an error of the entry instance into one of the requests service. Only what is certain not to have run
+// is reported as such.
+func problem(err error, jobID string) *requests.Problem {
+	var rejection *jobs.Rejection
 	switch {
-	case r.Outcome == work.Failed:
-		name = "failed"
-	case r.Outcome == work.Unknown:
-		name = "unknown"
-	case name == "":
-		name = "unavailable"
+	case errors.As(err, &rejection):
+		return rejected(rejection, jobID)
+	case errors.Is(err, entry.ErrNotReady):
+		p := newProblem("unavailable", notRun, reasonNotReady, jobID, err.Error())
+		p.RetryAfter = pointer(notReadyRetry)
+		return p
+	case errors.Is(err, entry.ErrNoQueue):
+		return newProblem("not_found", notRun, reasonUnknownQueue, jobID, err.Error())
+	case errors.Is(err, entry.ErrUnknownKey):
+		return newProblem("unauthorized", notRun, reasonBadKey, jobID, err.Error())
+	case errors.Is(err, jobs.ErrNoSuchJob):
+		return newProblem("not_found", unknown, reasonNoSuchJob, jobID, err.Error())
 	}
-	status := errorStatus[name]
-	outcome := string(r.Outcome)
-	reason := string(r.Reason)
-	p := &requests.Problem{
-		Name: name, Type: problemType, Title: http.StatusText(status), Status: status,
-		Detail: r.Detail, Outcome: &outcome, Reason: &reason,
+	return newProblem("unknown", unknown, reasonNoAnswer, jobID, err.Error())
+}
+
+func rejected(r *jobs.Rejection, jobID string) *requests.Problem {
+	name := "unavailable"
+	switch {
+	case r.Permanent:
+		name = "impossible"
+	case r.Overloaded:
+		name = "busy"
 	}
-	if r.RequestID != "" {
-		p.RequestID = &r.RequestID
+	p := newProblem(name, notRun, reasonRejected, jobID, r.Reason)
+	if !r.Permanent {
+		p.RetryAfter = pointer(int(math.Ceil(r.RetryAfter.Seconds())))
 	}
 	return p
 }
 
+func pointer[T any](v T) *T { return &v }
+
 // problemBody is the JSON of a problem document. goa hands every error to the formatter, typed problems included.
 type problemBody struct {
 	Type           string       `json:"type"`
@@ -87,8 +122,8 @@
 	Detail         string       `json:"detail"`
 	Outcome        *string      `json:"outcome,omitempty"`
 	Reason         *string      `json:"reason,omitempty"`
-	RequestID      *string      `json:"request_id,omitempty"`
-	CurrentVersion *uint64      `json:"current_version,omitempty"`
+	JobID          *string      `json:"job_id,omitempty"`
+	CurrentVersion *int64       `json:"current_version,omitempty"`
 	Findings       finding.List `json:"findings,omitempty"`
 }
 
@@ -100,8 +135,7 @@
 	switch p := err.(type) {
 	case *requests.Problem:
 		return &problemBody{
-			Type: p.Type, Title: p.Title, Status: p.Status, Detail: p.Detail,
-			Outcome: p.Outcome, Reason: p.Reason, RequestID: p.RequestID,
+			Type: p.Type, Title: p.Title, Status: p.Status, Detail: p.Detail, Outcome: p.Outcome, Reason: p.Reason, JobID: p.JobID,
 		}
 	case *admin.Problem:
 		body := &problemBody{Type: p.Type, Title: p.Title, Status: p.Status, Detail: p.Detail, CurrentVersion: p.CurrentVersion}
@@ -112,19 +146,19 @@
 	case *health.Problem:
 		return &problemBody{Type: p.Type, Title: p.Title, Status: p.Status, Detail: p.Detail}
 	}
-	return malformedProblem(err)
+	return malformed(err)
 }
 
-// malformedProblem describes an error that goa found itself, such as a header of the wrong type. goa checks requests
-// before a service method is called, so nothing has run.
-func malformedProblem(err error) *problemBody {
+// malformed describes an error that goa found itself, such as a header of the wrong type. goa checks requests before a
+// service method is called, so nothing has run.
+func malformed(err error) *problemBody {
 	status := http.StatusBadRequest
-	if service, ok := err.(*goa.ServiceError); ok && service.Fault {
+	var service *goa.ServiceError
+	if errors.As(err, &service) && service.Fault {
 		status = http.StatusInternalServerError
 	}
-	outcome, reason := string(work.NotRun), string(work.ReasonMalformed)
 	return &problemBody{
 		Type: problemType, Title: http.StatusText(status), Status: status, Detail: err.Error(),
-		Outcome: &outcome, Reason: &reason,
+		Outcome: pointer(notRun), Reason: pointer(reasonMalformed),
 	}
 }
--- a/internal/api/requests.go
+++ b/internal/api/requests.go
@@ -1,184 +1,314 @@
 package api
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"io"
-	"mime"
 	"net"
 	"net/http"
-	"slices"
+	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
 
 	"github.com/pollenford/pollenford/gen/requests"
-	"github.com/pollenford/pollenford/internal/config"
-	"github.com/pollenford/pollenford/internal/fleet"
-	"github.com/pollenford/pollenford/internal/work"
+	"github.com/pollenford/pollenford/internal/catalog"
+	"github.com/pollenford/pollenford/internal/entry"
+	"github.com/pollenford/pollenford/internal/jobs"
+	"github.com/pollenford/pollenford/internal/wait"
+	"github.com/pollenford/pollenford/internal/workload"
 )
 
-// maxDeadline bounds the deadline of a request that is answered on its connection.
-const maxDeadline = 10 * time.Minute
+const (
+	// answerMargin is left of a deadline for the way back and for withdrawing what has not begun.
+	answerMargin = 200 * time.Millisecond
+	// cancelTimeout bounds the withdrawal of a job whose client no longer waits; a usual one takes some milliseconds.
+	cancelTimeout = 2 * time.Second
+	// ownerRetry is the pause before another attempt to reach an owner, which takes over within some 100 ms.
+	ownerRetry = 50 * time.Millisecond
+	// idBytes is the length of job IDs before they are written in hexadecimal digits.
+	idBytes = 16
+)
 
 // Requests implements the requests service.
 type Requests struct {
-	// State is the agreed state with the configuration and the keys.
-	State *fleet.State
-	// Handler is the first stage of the request path.
-	Handler work.Handler
-	// Fresh reports whether the entry instance knows the current keys and limits well enough to start work.
-	Fresh func(now time.Time) bool
-	// Jobs runs long-running work.
-	Jobs Jobs
+	Entry *entry.Entry
+	// Observe counts a request that has ended towards the service-level objectives. served tells whether it was served,
+	// or not for a reason that its client caused.
+	Observe func(queue, organisation string, served bool, took time.Duration)
+	Log     hclog.Logger
 }
 
 // Send implements the service method.
 func (s *Requests) Send(ctx context.Context, p *requests.SendPayload, body io.ReadCloser) (*requests.Answer, io.ReadCloser, error) {
-	req, refusal := s.admit(p, body)
-	if refusal != nil {
-		return nil, nil, problem(refusal)
-	}
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
-	defer cancel()
-	answer, err := s.Handler.Do(ctx, req)
+	began := time.Now()
+	job, admission, err := s.admit(asSubmit(p), body)
 	if err != nil {
-		return nil, nil, problem(asRefusal(err, req.ID))
+		return nil, nil, err
 	}
-	res, stream := answerResult(answer)
-	return res, stream, nil
+	ctx, cancel := context.WithDeadline(ctx, deadline(p.DeadlineMs, began))
+	defer cancel()
+	answer, stream, err := s.run(ctx, &admission, job, p)
+	s.finished("send", job, admission, err, began)
+	return answer, stream, err
 }
 
-func answerResult(answer *work.Answer) (*requests.Answer, io.ReadCloser) {
-	res := &requests.Answer{RequestID: answer.RequestID, ContentType: answer.ContentType, Length: int64(len(answer.Body))}
-	return res, io.NopCloser(bytes.NewReader(answer.Body))
+// deadline is when the system stops to work on a request, in time for an answer.
+func deadline(ms int64, began time.Time) time.Time {
+	return began.Add(time.Duration(ms)*time.Millisecond - answerMargin)
 }
 
-func asRefusal(err error, requestID string) *work.Refusal {
-	var refusal *work.Refusal
-	if !errors.As(err, &refusal) {
-		refusal = work.Refuse(work.Unknown, work.ReasonWorker, "%v", err)
-	}
-	out := *refusal
-	out.RequestID = requestID
-	return &out
+func asSubmit(p *requests.SendPayload) *requests.SubmitPayload {
+	submit := requests.SubmitPayload(*p)
+	return &submit
 }
 
-// admit checks a request in full and gives it an ID. Each refusal is "not run".
-func (s *Requests) admit(p *requests.SendPayload, body io.ReadCloser) (*work.Request, *work.Refusal) {
-	received := time.Now()
-	if !s.Fresh(received) {
-		return nil, work.Refuse(work.NotRun, work.ReasonNotFresh, "this entry instance is cut off from its peers and the log")
-	}
-	doc, _ := s.State.Config()
-	queue, ok := doc.Queues[p.Queue]
-	if !ok {
-		return nil, work.Refuse(work.NotRun, work.ReasonUnknownQueue, "unknown queue %q", p.Queue)
+// run waits for the end of a job that was handed in. A job without an idempotency key is withdrawn at its deadline: its
+// client cannot ask for it again.
+func (s *Requests) run(ctx context.Context, a *entry.Admission, job *workload.Job, p *requests.SendPayload) (*requests.Answer, io.ReadCloser, error) {
+	if err := s.handIn(ctx, a, job); err != nil {
+		return nil, nil, err
 	}
-	team, refusal := s.authenticate(p.Authorization, queue)
-	if refusal != nil {
-		return nil, refusal
+	status, err := s.Entry.Await(ctx, a, job.ID)
+	if err == nil {
+		return answer(job.ID, status)
 	}
-	deadline, refusal := requestDeadline(received, p.DeadlineMs, queue)
-	if refusal != nil {
-		return nil, refusal
+	if p.IdempotencyKey != nil {
+		return nil, nil, newProblem("unknown", unknown, reasonDeadline, job.ID, "the work has not ended; ask again with the same key")
 	}
-	contentType := "application/octet-stream"
-	if p.ContentType != nil {
-		contentType = *p.ContentType
+	return nil, nil, s.withdraw(ctx, a, job)
+}
+
+// handIn submits a job and tells apart a job that another request handed in under the same ID. Between two owners it
+// tries again until the deadline: a planned stop of the owner refuses nobody who can wait.
+func (s *Requests) handIn(ctx context.Context, a *entry.Admission, job *workload.Job) error {
+	for {
+		err := s.Entry.Submit(ctx, a, job)
+		var rejection *jobs.Rejection
+		if errors.As(err, &rejection) && !rejection.Permanent && !rejection.Overloaded && wait.For(ctx, ownerRetry) {
+			continue
+		}
+		if err != nil {
+			return problem(err, job.ID)
+		}
+		break
 	}
-	data, refusal := readBody(body, queue, contentType)
-	if refusal != nil {
-		return nil, refusal
+	if job.Fingerprint == "" {
+		return nil
 	}
-	req := &work.Request{
-		ID: uuid.NewString(), Team: team, Queue: p.Queue, Pool: queue.Pool,
-		Idempotent: p.Idempotent, Urgent: p.Priority == "urgent", Preemptible: p.Preemptible,
-		Size:     work.Size{Cores: p.Cores, MemoryGB: p.MemoryGb, Accelerators: p.Accelerators},
-		Deadline: deadline, ContentType: contentType, Body: data,
+	status, err := s.Entry.Status(ctx, a, job.ID)
+	if err != nil {
+		return problem(err, job.ID)
 	}
-	if p.IdempotencyKey != nil {
-		req.IdempotencyKey = *p.IdempotencyKey
+	if status.Fingerprint != job.Fingerprint {
+		return newProblem("conflict", notRun, reasonKeyReused, job.ID, "the idempotency key belongs to another request")
 	}
-	return req, nil
+	return nil
 }
 
-// authenticate returns the team that the work is accounted to.
-func (s *Requests) authenticate(authorization *string, queue config.Queue) (string, *work.Refusal) {
-	if queue.Open && authorization == nil {
-		return queue.Team, nil
+// withdraw cancels a job whose client waits no longer.
+func (s *Requests) withdraw(ctx context.Context, a *entry.Admission, job *workload.Job) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer cancel()
+	if err := s.Entry.Cancel(ctx, a, job.ID); err != nil {
+		return newProblem("unknown", unknown, reasonDeadline, job.ID, "the work has not ended, and cancelling it failed: "+err.Error())
 	}
-	key, ok := s.key(authorization)
-	if !ok {
-		return "", work.Refuse(work.NotRun, work.ReasonBadKey, "the key is missing, unknown or withdrawn")
+	status, err := s.Entry.Status(ctx, a, job.ID)
+	if err == nil && status.State == workload.Cancelled && !status.Begun {
+		return newProblem("timeout", notRun, reasonDeadline, job.ID, "no worker was free in time")
 	}
-	if len(queue.Teams) > 0 && !slices.Contains(queue.Teams, key.Team) {
-		return "", work.Refuse(work.NotRun, work.ReasonTeamNotAllowed, "team %q may not use this queue", key.Team)
+	return newProblem("unknown", unknown, reasonDeadline, job.ID, "the work had begun and was cancelled")
+}
+
+// answer returns what an ended job left.
+func answer(id string, status jobs.Status) (*requests.Answer, io.ReadCloser, error) {
+	switch status.State {
+	case workload.Completed:
+		contentType := "text/plain; charset=utf-8"
+		if json.Valid([]byte(status.Answer)) {
+			contentType = "application/json"
+		}
+		res := &requests.Answer{JobID: id, ContentType: contentType, Length: int64(len(status.Answer))}
+		return res, io.NopCloser(strings.NewReader(status.Answer)), nil
+	case workload.Failed:
+		if status.Interrupted {
+			return nil, nil, newProblem("unknown", unknown, reasonInterrupted, id, "the run was cut off and is not repeated")
+		}
+		return nil, nil, newProblem("failed", failed, reasonFailed, id, "the work failed")
+	case workload.Cancelled:
+		outcome := notRun
+		if status.Begun {
+			outcome = unknown
+		}
+		return nil, nil, newProblem("conflict", outcome, reasonCancelled, id, "the job was cancelled")
 	}
-	return key.Team, nil
+	return nil, nil, newProblem("conflict", unknown, reasonNotEnded, id, "the job has not ended")
 }
 
-func (s *Requests) key(authorization *string) (fleet.Key, bool) {
-	if authorization == nil {
-		return fleet.Key{}, false
+// Submit implements the service method.
+func (s *Requests) Submit(ctx context.Context, p *requests.SubmitPayload, body io.ReadCloser) (*requests.Job, error) {
+	began := time.Now()
+	job, admission, err := s.admit(p, body)
+	if err != nil {
+		return nil, err
 	}
-	secret, ok := strings.CutPrefix(*authorization, "Bearer ")
-	if !ok {
-		return fleet.Key{}, false
+	ctx, cancel := context.WithDeadline(ctx, deadline(p.DeadlineMs, began))
+	defer cancel()
+	err = s.handIn(ctx, &admission, job)
+	s.finished("submit", job, admission, err, began)
+	if err != nil {
+		return nil, err
 	}
-	return s.State.KeyByDigest(digest(secret))
+	return &requests.Job{ID: job.ID, Status: "queued"}, nil
 }
 
-func digest(secret string) string {
-	sum := sha256.Sum256([]byte(secret))
-	return hex.EncodeToString(sum[:])
+// finished logs and counts a request.
+func (s *Requests) finished(what string, job *workload.Job, a entry.Admission, err error, began time.Time) {
+	took := time.Since(began)
+	status := http.StatusOK
+	var p *requests.Problem
+	if errors.As(err, &p) {
+		status = p.Status
+	}
+	s.Log.Info("request", "method", what, "id", job.ID, "queue", a.Queue.Name, "organisation", a.Organisation, "config", a.Version,
+		"status", status, "ms", took.Milliseconds(), "err", err)
+	s.Observe(a.Queue.Name, a.Organisation, status < http.StatusInternalServerError && status != http.StatusTooManyRequests, took)
 }
 
-func requestDeadline(received time.Time, asked *int64, queue config.Queue) (time.Time, *work.Refusal) {
-	ms := queue.DeadlineMS
-	if ms == 0 {
-		ms = config.DefaultDeadlineMS
+// admit checks a request and makes a job of it.
+func (s *Requests) admit(p *requests.SubmitPayload, body io.ReadCloser) (*workload.Job, entry.Admission, error) {
+	admission, err := s.Entry.AdmitQueue(p.Queue, key(p.Authorization))
+	if err != nil {
+		return nil, admission, problem(err, "")
+	}
+	spec, err := readSpec(body)
+	if err != nil {
+		return nil, admission, err
 	}
-	if asked != nil {
-		ms = *asked
+	job := &workload.Job{
+		ID: newID(), Spec: spec, ReceivedMS: time.Now().UnixMilli(),
+		KeepsAnswer: true,
+		Steps: []workload.Step{{
+			Count: 1, Once: !p.Idempotent, SavesProgress: p.Resumable, Estimate: time.Duration(p.EstimateMs) * time.Millisecond,
+			Need: catalog.Resources{CPU: int64(p.Cores * 1000), MemoryMB: p.MemoryMb, GPU: p.Accelerators},
+		}},
 	}
-	if ms <= 0 {
-		return time.Time{}, work.Refuse(work.NotRun, work.ReasonDeadline, "the deadline has passed")
+	if p.IdempotencyKey != nil {
+		job.ID = digest(idBytes, p.Queue, admission.Organisation, *p.IdempotencyKey)
+		job.Fingerprint = digest(idBytes, spec, strconv.FormatBool(p.Idempotent))
 	}
-	if ms > maxDeadline.Milliseconds() {
-		return time.Time{}, work.Refuse(work.NotRun, work.ReasonMalformed, "the deadline is later than %s; submit a job instead", maxDeadline)
+	return job, admission, nil
+}
+
+func key(authorization *string) string {
+	if authorization == nil {
+		return ""
 	}
-	return received.Add(time.Duration(ms) * time.Millisecond), nil
+	secret, _ := strings.CutPrefix(*authorization, "Bearer ")
+	return secret
+}
+
+func newID() string {
+	id := uuid.New()
+	return hex.EncodeToString(id[:])
 }
 
-func readBody(body io.ReadCloser, queue config.Queue, contentType string) ([]byte, *work.Refusal) {
-	limit := queue.MaxBodyBytes
-	if limit == 0 {
-		limit = config.DefaultMaxBodyBytes
+// digest returns the first bytes of a SHA-256 over values, each with its length, in hexadecimal digits.
+func digest(bytes int, values ...string) string {
+	h := sha256.New()
+	for _, v := range values {
+		io.WriteString(h, strconv.Itoa(len(v))+":"+v) // a hash never fails
 	}
-	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	return hex.EncodeToString(h.Sum(nil)[:bytes])
+}
+
+func readSpec(body io.ReadCloser) (string, error) {
+	data, err := io.ReadAll(io.LimitReader(body, workload.MaxSpec+1))
 	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		return nil, work.Refuse(work.NotRun, work.ReasonSlowBody, "the body did not arrive in time")
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "", newProblem("timeout", notRun, reasonSlowBody, "", "the body did not arrive in time")
+	case err != nil:
+		return "", newProblem("bad_request", notRun, reasonMalformed, "", "the body is incomplete: "+err.Error())
+	case len(data) > workload.MaxSpec:
+		return "", newProblem("too_large", notRun, reasonTooLarge, "", "the body is larger than "+strconv.Itoa(workload.MaxSpec)+" bytes")
+	case !utf8.Valid(data):
+		return "", newProblem("bad_request", notRun, reasonMalformed, "", "the body is not UTF-8 text")
+	}
+	return string(data), nil
+}
+
+// JobEndpoint implements the service method "job".
+func (s *Requests) JobEndpoint(ctx context.Context, p *requests.JobPayload) (*requests.Job, error) {
+	status, err := s.status(ctx, p.Queue, p.ID, p.Authorization)
+	if err != nil {
+		return nil, err
+	}
+	return view(p.ID, status), nil
+}
+
+// JobAnswer implements the service method.
+func (s *Requests) JobAnswer(ctx context.Context, p *requests.JobAnswerPayload) (*requests.Answer, io.ReadCloser, error) {
+	status, err := s.status(ctx, p.Queue, p.ID, p.Authorization)
+	if err != nil {
+		return nil, nil, err
+	}
+	return answer(p.ID, status)
+}
+
+// Cancel implements the service method.
+func (s *Requests) Cancel(ctx context.Context, p *requests.CancelPayload) (*requests.Job, error) {
+	admission, err := s.Entry.AdmitQueue(p.Queue, key(p.Authorization))
+	if err != nil {
+		return nil, problem(err, p.ID)
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) || int64(len(data)) > limit {
-		return nil, work.Refuse(work.NotRun, work.ReasonTooLarge, "the body is larger than %d bytes", limit)
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	if err := s.Entry.Cancel(ctx, &admission, p.ID); err != nil {
+		return nil, problem(err, p.ID)
 	}
+	return s.JobEndpoint(ctx, &requests.JobPayload{Queue: p.Queue, ID: p.ID, Authorization: p.Authorization})
+}
+
+func (s *Requests) status(ctx context.Context, queue, id string, authorization *string) (jobs.Status, error) {
+	admission, err := s.Entry.AdmitQueue(queue, key(authorization))
 	if err != nil {
-		return nil, work.Refuse(work.NotRun, work.ReasonMalformed, "the body is incomplete: %v", err)
+		return jobs.Status{}, problem(err, id)
 	}
-	media, _, err := mime.ParseMediaType(contentType)
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	status, err := s.Entry.Status(ctx, &admission, id)
 	if err != nil {
-		return nil, work.Refuse(work.NotRun, work.ReasonMalformed, "malformed Content-Type")
+		return jobs.Status{}, problem(err, id)
 	}
-	if media == "application/json" && !json.Valid(data) {
-		return nil, work.Refuse(work.NotRun, work.ReasonMalformed, "the body is not valid JSON")
+	return status, nil
+}
+
+func view(id string, status jobs.Status) *requests.Job {
+	res := &requests.Job{ID: id, Status: "queued"}
+	switch status.State {
+	case workload.Active:
+		if status.Begun {
+			res.Status = "running"
+		}
+	case workload.Completed:
+		res.Status = "done"
+	case workload.Failed:
+		res.Status, res.Outcome = "failed", pointer(failed)
+		if status.Interrupted {
+			res.Outcome = pointer(unknown)
+		}
+	case workload.Cancelled:
+		res.Status, res.Outcome = "cancelled", pointer(notRun)
+		if status.Begun {
+			res.Outcome = pointer(unknown)
+		}
 	}
-	return data, nil
+	return res
 }
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -15,8 +15,8 @@
 	"github.com/pollenford/pollenford/gen/requests"
 )
 
-// maxBodyBytes bounds every request body before a queue's own bound is known.
-const maxBodyBytes = 64 << 20
+// maxBodyBytes bounds every request body; the largest is a patch of the configuration.
+const maxBodyBytes = 1 << 20
 
 // Health implements the health service.
 type Health struct {
@@ -38,7 +38,7 @@
 	return "ready", nil
 }
 
-// NewHandler mounts the services on one HTTP handler.
+// NewHandler mounts the services on one HTTP handler. onError learns of answers that could not be written.
 func NewHandler(req *Requests, adm *Admin, hea *Health, onError func(context.Context, http.ResponseWriter, error)) http.Handler {
 	mux := goahttp.NewMuxer()
 	dec, enc := goahttp.RequestDecoder, goahttp.ResponseEncoder
--- a/internal/server/tls.go
+++ b/internal/api/tls.go
@@ -1,4 +1,4 @@
-package server
+package api
 
 import (
 	"crypto/tls"
@@ -17,8 +17,8 @@
 // certificateCheck is the shortest interval between two looks at the certificate files.
 const certificateCheck = 1 * time.Second
 
-// serve serves callers, with TLS when it is configured.
-func serve(srv *http.Server, listener net.Listener, t *settings.TLS, logger hclog.Logger) error {
+// Serve serves an API, with TLS if it is configured.
+func Serve(srv *http.Server, listener net.Listener, t *settings.TLS, logger hclog.Logger) error {
 	if t == nil {
 		return srv.Serve(listener)
 	}
--- a/internal/server/tls_test.go
+++ b/internal/api/tls_test.go
@@ -1,4 +1,4 @@
-package server
+package api
 
 import (
 	"crypto/ecdsa"
@@ -73,7 +73,7 @@
 		t.Fatal(err)
 	}
 	srv := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: time.Second}
-	go func() { _ = serve(srv, listener, &files, hclog.NewNullLogger()) }()
+	go func() { _ = Serve(srv, listener, &files, hclog.NewNullLogger()) }()
 	t.Cleanup(func() { srv.Close() })
 	url := "https://" + listener.Addr().String()
 	if err := get(url, first); err != nil {
@@ -99,7 +99,7 @@
 	if get(url, first) == nil {
 		t.Error("the first certificate is still served")
 	}
-	if err := serve(&http.Server{}, listener, &settings.TLS{CertFile: "none", KeyFile: "none"}, hclog.NewNullLogger()); err == nil {
+	if err := Serve(&http.Server{}, listener, &settings.TLS{CertFile: "none", KeyFile: "none"}, hclog.NewNullLogger()); err == nil {
 		t.Error("served without a certificate")
 	}
 }
--- a/internal/burn/counter.go
+++ b/internal/burn/counter.go
@@ -1,5 +1,5 @@
 // Package burn measures how fast the error budgets of service-level objectives are used up. Every entry instance counts
-// the requests that it answered in sliding windows of bounded memory; a report merges the counters of all.
+// the requests that it answered in sliding windows of bounded memory; reports of several can be merged.
 package burn
 
 import (
@@ -90,17 +90,6 @@
 	History []Bucket `json:"history"`
 }
 
-// merge adds the counters of another entry instance. Entry instances of two releases may count other windows; what has
-// no counterpart is left out.
-func (c *Counts) merge(other Counts) {
-	for i := range min(len(c.Windows), len(other.Windows)) {
-		c.Windows[i].add(other.Windows[i])
-	}
-	for i := range min(len(c.History), len(other.History)) {
-		c.History[i].add(other.History[i])
-	}
-}
-
 // counter counts one objective. Its size is fixed: six rings of 72 buckets, about 7 KB.
 type counter struct {
 	// mu protects rings.
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -8,8 +8,6 @@
 	"strings"
 	"text/tabwriter"
 	"time"
-
-	"github.com/pollenford/pollenford/internal/config"
 )
 
 // Report is the service-level burn of every objective at one time.
@@ -25,14 +23,14 @@
 // Objective is the burn of one objective.
 type Objective struct {
 	Name string `json:"name"`
-	// Pool or Team is set.
-	Pool string `json:"pool"`
-	Team string `json:"team"`
+	// Queue or Organisation is set.
+	Queue        string `json:"queue"`
+	Organisation string `json:"organisation"`
 	// Target is the fraction of good requests, between 0 and 1.
 	Target float64 `json:"target"`
 	// LatencyMS is the time in milliseconds within which a request counts as good.
 	LatencyMS   int64 `json:"latency_ms"`
-	WindowHours int   `json:"window_hours"`
+	WindowHours int64 `json:"window_hours"`
 	// BudgetLeft is the unused fraction of the error budget. It is negative when the budget is overspent.
 	BudgetLeft float64 `json:"budget_left"`
 	// Windows are sorted by length; the last is the objective's own window.
@@ -52,39 +50,74 @@
 	BurnRate float64 `json:"burn_rate"`
 }
 
-// Build computes the report from merged counters by objective.
-func Build(doc *config.Document, counts map[string]Counts, at time.Time) Report {
+// Build computes the report from counters by objective.
+func Build(objectives map[string]Definition, counts map[string]Counts, at time.Time) Report {
 	report := Report{At: at.UTC(), Members: []string{}, Missing: []string{}, Objectives: []Objective{}}
-	for _, name := range slices.Sorted(maps.Keys(doc.Objectives)) {
-		report.Objectives = append(report.Objectives, buildObjective(name, doc.Objectives[name], counts[name]))
+	for _, name := range slices.Sorted(maps.Keys(objectives)) {
+		report.Objectives = append(report.Objectives, buildObjective(name, objectives[name], counts[name]))
 	}
 	return report
 }
 
-func buildObjective(name string, o config.Objective, c Counts) Objective {
+func buildObjective(name string, d Definition, c Counts) Objective {
 	out := Objective{
-		Name: name, Pool: o.Pool, Team: o.Team, Target: o.Target, LatencyMS: o.LatencyMS, WindowHours: o.WindowHours,
-		BudgetLeft: 1, Windows: []Window{}, History: c.History,
+		Name: name, Queue: d.Queue, Organisation: d.Organisation, Target: d.Target, LatencyMS: d.LatencyMS,
+		WindowHours: d.WindowHours, Windows: []Window{}, History: c.History,
 	}
 	if out.History == nil {
 		out.History = []Bucket{}
 	}
-	own := time.Duration(o.WindowHours) * time.Hour
 	for i, b := range c.Windows {
-		length := own
+		length := d.window()
 		if i < len(fixedWindows) {
 			length = fixedWindows[i]
 		}
-		out.Windows = append(out.Windows, Window{
-			Seconds: int64(length / time.Second), Good: b.Good, Bad: b.Bad, BurnRate: BurnRate(b, o.Target),
-		})
-		if i == len(fixedWindows) {
-			out.BudgetLeft = 1 - BurnRate(b, o.Target)
-		}
+		out.Windows = append(out.Windows, Window{Seconds: int64(length / time.Second), Good: b.Good, Bad: b.Bad})
 	}
+	out.rate()
 	return out
 }
 
+// rate computes the burn rates and the budget left from the counts.
+func (o *Objective) rate() {
+	o.BudgetLeft = 1
+	for i := range o.Windows {
+		w := &o.Windows[i]
+		w.BurnRate = BurnRate(Bucket{w.Good, w.Bad}, o.Target)
+		o.BudgetLeft = 1 - w.BurnRate // the last window is the objective's own
+	}
+}
+
+// Merge adds the counts of another entry instance. Objectives and windows that only one of them counts are left as they
+// are: two entry instances may run with other settings while these are rolled out.
+func (r *Report) Merge(other Report) {
+	r.Members = append(r.Members, other.Members...)
+	r.Missing = append(r.Missing, other.Missing...)
+	slices.Sort(r.Members)
+	slices.Sort(r.Missing)
+	for i := range r.Objectives {
+		mine := &r.Objectives[i]
+		for _, theirs := range other.Objectives {
+			if theirs.Name == mine.Name {
+				mine.merge(theirs)
+			}
+		}
+	}
+}
+
+func (o *Objective) merge(other Objective) {
+	for i := range min(len(o.Windows), len(other.Windows)) {
+		if o.Windows[i].Seconds == other.Windows[i].Seconds {
+			o.Windows[i].Good += other.Windows[i].Good
+			o.Windows[i].Bad += other.Windows[i].Bad
+		}
+	}
+	for i := range min(len(o.History), len(other.History)) {
+		o.History[i].add(other.History[i])
+	}
+	o.rate()
+}
+
 // BurnRate is the fraction of bad requests divided by the fraction that the target allows. Over the objective's own
 // window it is the used fraction of the error budget.
 func BurnRate(b Bucket, target float64) float64 {
@@ -116,10 +149,10 @@
 
 // Scope names what the objective covers.
 func (o Objective) Scope() string {
-	if o.Pool != "" {
-		return "pool " + o.Pool
+	if o.Queue != "" {
+		return "queue " + o.Queue
 	}
-	return "team " + o.Team
+	return "organisation " + o.Organisation
 }
 
 // Length returns the length of the window in its largest whole unit, such as "6 h".
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -5,6 +5,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/pollenford/pollenford/internal/finding"
 )
 
 // Queue takes jobs for one pool.
@@ -89,6 +91,11 @@
 	Pools         map[string]*Pool
 	Organisations map[string]*Organisation
 	Limits        HTTPLimits
+	// Findings are what is wrong with the configuration. Operators' tools refuse one with findings; what the platform
+	// publishes nevertheless is in force as far as it makes sense.
+	Findings finding.List
+	// Document is what the configuration was decoded from, for instances that the store does not reach.
+	Document []byte
 
 	keys   map[string]*Organisation
 	byHost map[string][]*Queue // longest prefix first
@@ -101,6 +108,7 @@
 		Queues: map[string]*Queue{}, Pools: map[string]*Pool{}, Organisations: map[string]*Organisation{},
 		keys: map[string]*Organisation{}, byHost: map[string][]*Queue{},
 	}
+	c.Findings = check(queues, pools, organisations)
 	for _, q := range queues {
 		c.Queues[q.Name] = q
 		host := strings.ToLower(q.Host)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -22,9 +22,9 @@
 	exitFailure = 1
 	// exitInvalid means wrong settings or arguments; nothing was started or changed.
 	exitInvalid = 2
-	// exitRefused means that the fleet refused the proposal.
+	// exitRefused means that the patched configuration is not valid.
 	exitRefused = 3
-	// exitConflict means that the configuration has another version than the patch was made for.
+	// exitConflict means that the configuration has another version than the patch was made for, or that a wave exists.
 	exitConflict = 4
 	// exitUnknown means that the outcome is not known yet.
 	exitUnknown = 5
@@ -74,7 +74,7 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &codedError{exitInvalid, err} })
-	root.AddCommand(newServe(), newNode(), newCheck(), newVersion(), newDev(), newLoad(), newBench())
+	root.AddCommand(newNode(), newVersion(), newDev(), newLoad())
 	root.AddCommand(operatorCommands()...)
 	return root
 }
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -6,10 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
 	"os"
-	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -18,12 +16,12 @@
 	"github.com/spf13/cobra"
 )
 
-// requestTimeout bounds one call of the administration API, including a wait for all entry instances.
-const requestTimeout = 60 * time.Second
+// requestTimeout bounds one call of the administration API, which itself gives up after 5 s.
+const requestTimeout = 10 * time.Second
 
-// adminClient calls the administration API of an entry instance.
+// adminClient calls the administration API of entry instances.
 type adminClient struct {
-	base   string
+	bases  []string
 	token  string
 	output string
 }
@@ -32,7 +30,7 @@
 type problemDocument struct {
 	Status         int    `json:"status"`
 	Detail         string `json:"detail"`
-	CurrentVersion uint64 `json:"current_version"`
+	CurrentVersion int64  `json:"current_version"`
 	Findings       []struct {
 		Place   string `json:"place"`
 		Message string `json:"message"`
@@ -54,7 +52,7 @@
 // addClientFlags adds the flags that every operator command has.
 func addClientFlags(cmd *cobra.Command, c *adminClient) {
 	f := cmd.PersistentFlags()
-	f.StringVar(&c.base, "api", envOr("POLLENFORD_API", "http://127.0.0.1:7100"), "URL of an entry instance (or POLLENFORD_API)")
+	f.StringSliceVar(&c.bases, "api", []string{envOr("POLLENFORD_API", "http://127.0.0.1:7100")}, "URL of an entry instance (or POLLENFORD_API); several for reports")
 	f.StringVar(&c.token, "token", os.Getenv("POLLENFORD_TOKEN"), "operator token (or POLLENFORD_TOKEN)")
 	f.StringVarP(&c.output, "output", "o", "text", "output format: text or json")
 }
@@ -66,8 +64,12 @@
 	return fallback
 }
 
-// call sends one request. A nil body sends none; a []byte body is sent as it is.
+// call sends one request to the first entry instance. A nil body sends none; a []byte body is sent as it is.
 func (c *adminClient) call(ctx context.Context, method, path string, header http.Header, body, into any) error {
+	return c.callAt(ctx, c.bases[0], method, path, header, body, into)
+}
+
+func (c *adminClient) callAt(ctx context.Context, base, method, path string, header http.Header, body, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	data, raw := body.([]byte)
@@ -77,7 +79,7 @@
 			return errors.Trace(err)
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+"/v1/admin"+path, bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, method, base+"/v1/admin"+path, bytes.NewReader(data))
 	if err != nil {
 		return &codedError{exitInvalid, err}
 	}
@@ -134,5 +136,3 @@
 	}
 	return &codedError{exitInvalid, errors.Errorf("unknown output format %q", c.output)}
 }
-
-func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
