--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -4,76 +4,108 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/pollenford/pollenford/internal/fleet"
-	"github.com/pollenford/pollenford/internal/platform"
-	"github.com/pollenford/pollenford/internal/server"
 	"github.com/pollenford/pollenford/internal/settings"
-	"github.com/pollenford/pollenford/internal/standin"
+	"github.com/pollenford/pollenford/internal/wait"
+	"github.com/pollenford/pollenford/platform"
+	"github.com/pollenford/pollenford/platform/standin"
 )
 
 func newDev() *cobra.Command {
-	cmd := &cobra.Command{Use: "dev", Short: "Stand-ins of the platform and of workers, for a first try and for tests"}
-	cmd.AddCommand(newDevPlatform(), newDevWorker(), newDevBalancer(), newDevAll())
+	cmd := &cobra.Command{Use: "dev", Short: "A stand-in of the platform, for a first try and for tests"}
+	cmd.AddCommand(newDevPlatform(), newDevBalancer(), newDevSettings(), newDevAll())
 	return cmd
 }
 
+// Values of the embedded first try.
+const (
+	devToken = "dev-operator-token"
+	devKey   = "dev-key"
+	// devReady bounds the start of the embedded system.
+	devReady = 15 * time.Second
+	// devMachines serve each of the two pools; as many stand by.
+	devMachines = 2
+)
+
+// devConfig is the configuration of the embedded first try, in the format of the platform.
+const devConfig = `{"version":1,
+  "routes":[
+    {"name":"slot-search","host":"dev","path_prefix":"/slot-search/","service":"quick","priority":0,"max_attempts":3,"slack_factor":2,"target_latency_ms":600},
+    {"name":"round-planning","host":"dev","path_prefix":"/round-planning/","service":"long","priority":1,"max_attempts":3,"slack_factor":2,"target_latency_ms":2000}],
+  "services":[{"name":"quick","preconditions":true},{"name":"long","preconditions":true},{"name":"spare","standby":true}],
+  "tenants":[{"name":"desk","api_keys":["dev-key"],"weight":2,"cap":{}},{"name":"planning","api_keys":["dev-planning-key"],"weight":1,"cap":{"cpu":8000}}]}`
+
 func newDevPlatform() *cobra.Command {
-	var listen string
+	var listen, config string
+	var machines int
 	cmd := &cobra.Command{
 		Use:   "platform",
-		Short: "Run the stand-in of the log service and the instance list",
+		Short: "Run the stand-in of the platform: store, instance service and machines with workers",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return serveUntilDone(cmd.Context(), cmd.OutOrStdout(), listen, "platform", standin.NewPlatform())
+			document := []byte(devConfig)
+			if config != "" {
+				var err error
+				if document, err = os.ReadFile(config); err != nil {
+					return &codedError{exitInvalid, err}
+				}
+			}
+			d, err := newDeployment(cmd.Context(), document, machines)
+			if err != nil {
+				return err
+			}
+			l, err := net.Listen("tcp", listen)
+			if err != nil {
+				return errors.Annotate(err, "listening")
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "platform listening on", l.Addr())
+			return serveUntilDone(cmd.Context(), l, d)
 		},
 	}
-	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "IP address and port")
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:7000", "IP address and port")
+	cmd.Flags().StringVar(&config, "config", "", "file with the first configuration; a sample if absent")
+	cmd.Flags().IntVar(&machines, "machines", devMachines, "machines in each of the pools quick, long and spare")
 	return cmd
 }
 
-func newDevWorker() *cobra.Command {
-	var listen, platformURL string
-	inst := platform.Instance{State: platform.Live, Cores: 16, MemoryGB: 32}
-	cmd := &cobra.Command{
-		Use:   "worker",
-		Short: "Run the stand-in of a worker",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			listener, err := net.Listen("tcp", listen)
+// newDeployment returns a deployment with machines in each of its pools.
+func newDeployment(ctx context.Context, config []byte, machines int) (*standin.Deployment, error) {
+	d := standin.NewDeployment()
+	d.StandbyPools = []string{"spare"}
+	d.Publish(config)
+	for _, pool := range []string{"quick", "long", "spare"} {
+		for i := range machines {
+			err := d.Add(ctx, standin.Machine{
+				ID: fmt.Sprintf("%s-%d", pool, i+1), Pool: pool, Zone: fmt.Sprintf("az-%d", i%3+1), Rack: fmt.Sprintf("rack-%d", i+1),
+				Standby: pool == "spare",
+			})
 			if err != nil {
-				return errors.Annotate(err, "listening")
-			}
-			if inst.Address == "" {
-				inst.Address = listener.Addr().String()
-			}
-			if err := platform.NewClient(platformURL).Register(cmd.Context(), inst); err != nil {
-				return err
+				return nil, err
 			}
-			fmt.Fprintln(cmd.OutOrStdout(), "worker listening on", listener.Addr())
-			return serveWorker(cmd.Context(), listener, platform.NewClient(platformURL), inst)
-		},
+		}
 	}
-	f := cmd.Flags()
-	f.StringVar(&listen, "listen", "127.0.0.1:0", "IP address and port")
-	f.StringVar(&platformURL, "platform", "http://127.0.0.1:7000", "URL of the platform stand-in")
-	f.StringVar(&inst.Address, "address", "", "address on the instance list, if it is not the one that is listened on")
-	f.StringVar(&inst.ID, "id", "worker-1", "instance ID")
-	f.StringVar(&inst.Pool, "pool", "default", "pool")
-	f.StringVar(&inst.Zone, "zone", "az-1", "availability zone")
-	f.StringVar(&inst.Rack, "rack", "rack-1", "rack")
-	f.IntVar(&inst.Slots, "slots", 8, "slots")
-	return cmd
+	return d, nil
+}
+
+func serveUntilDone(ctx context.Context, l net.Listener, handler http.Handler) error {
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() }) // a stand-in has no work to finish
+	defer stop()
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Annotate(err, "serving")
+	}
+	return nil
 }
 
 func newDevBalancer() *cobra.Command {
@@ -81,193 +113,140 @@
 	var entries []string
 	cmd := &cobra.Command{
 		Use:   "balancer",
-		Short: "Run the stand-in of the load balancer in front of entry instances",
+		Short: "Run the stand-in of the load balancer in front of the own API of nodes",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			listener, err := net.Listen("tcp", listen)
+			l, err := net.Listen("tcp", listen)
 			if err != nil {
 				return errors.Annotate(err, "listening")
 			}
-			fmt.Fprintln(cmd.OutOrStdout(), "balancer listening on", listener.Addr())
-			return standin.NewBalancer().Serve(cmd.Context(), listener, entries)
+			fmt.Fprintln(cmd.OutOrStdout(), "balancer listening on", l.Addr())
+			return standin.NewBalancer().Serve(cmd.Context(), l, entries)
 		},
 	}
 	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "IP address and port")
-	cmd.Flags().StringSliceVar(&entries, "entry", nil, "IP address and port of an entry instance; may be repeated")
+	cmd.Flags().StringSliceVar(&entries, "entry", nil, "IP address and port of the own API of a node; may be repeated")
 	return cmd
 }
 
-// Timing of a worker stand-in's graceful stop.
-const (
-	workerStopTimeout = 60 * time.Second
-	workerStopPoll    = 20 * time.Millisecond
-)
-
-// serveWorker runs a worker stand-in until ctx ends. Then the worker announces that it is leaving, waits until it holds
-// no lease and no task, and stops.
-func serveWorker(ctx context.Context, listener net.Listener, list *platform.Client, inst platform.Instance) error {
-	worker := standin.NewWorker(inst.ID, inst.Slots)
-	srv := &http.Server{Handler: worker, ReadHeaderTimeout: 5 * time.Second}
-	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(listener) }()
-	select {
-	case err := <-failed:
-		return errors.Annotate(err, "serving")
-	case <-ctx.Done():
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), workerStopTimeout)
-	defer cancel()
-	inst.State = platform.Leaving
-	_ = list.Register(ctx, inst) // renewals tell it as well
-	for !worker.Leave() && ctx.Err() == nil {
-		time.Sleep(workerStopPoll)
-	}
-	return errors.Annotate(srv.Shutdown(ctx), "stopping")
-}
-
-func serveUntilDone(ctx context.Context, out io.Writer, address, what string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Annotate(err, "listening")
-	}
-	fmt.Fprintln(out, what, "listening on", listener.Addr())
-	return serveListener(ctx, listener, handler)
-}
-
-func serveListener(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	srv := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() }) // a stand-in has no work to finish
-	defer stop()
-	if err := srv.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Annotate(err, "serving")
+func newDevSettings() *cobra.Command {
+	var name, zone, platformAddress, ip string
+	var firstPort int
+	cmd := &cobra.Command{
+		Use:   "settings",
+		Short: "Print a platform settings file for a node that works with the stand-in",
+		Long:  "Print a platform settings file for a node that works with the stand-in. The node listens on eight ports from the first on.",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			at := func(i int) string { return net.JoinHostPort(ip, strconv.Itoa(firstPort+i)) }
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), `node = %q
+ip = %q
+zone = %q
+port_range = [%d, %d]
+[listen]
+front = %q
+ready = %q
+[bounds]
+grace_s = 6
+hold_max_ms = 10000
+stop_ms = 200
+status_s = 120
+move_s = %v
+maintenance_s = %v
+[platform]
+address = %q
+record_bytes = 262144
+call_bytes = 2097152
+[cloud]
+address = %q
+`, name, ip, zone, firstPort+2, firstPort+7, at(0), at(1), standin.MoveTime.Seconds(), standin.UpkeepTime.Seconds(), platformAddress, platformAddress)
+			return err
+		},
 	}
-	return nil
+	f := cmd.Flags()
+	f.StringVar(&name, "name", "entry-1", "name of the node")
+	f.StringVar(&zone, "zone", "az-1", "availability zone")
+	f.StringVar(&platformAddress, "platform", "127.0.0.1:7000", "IP address and port of the stand-in")
+	f.StringVar(&ip, "ip", "127.0.0.1", "IP address of the node")
+	f.IntVar(&firstPort, "port", 7200, "first port of the node: clients, readiness, then its own")
+	return cmd
 }
 
-// Values of the embedded first try.
-const (
-	devToken = "dev-operator-token"
-	devKey   = "dev-team-key"
-	devTeam  = "desk"
-	// devReady bounds the start of the embedded system.
-	devReady = 15 * time.Second
-)
-
 func newDevAll() *cobra.Command {
 	var listen string
 	cmd := &cobra.Command{
 		Use:   "all",
-		Short: "Run the platform stand-in, workers and an entry instance in one process",
+		Short: "Run the stand-in of the platform and a node in one process",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return runDevAll(cmd.Context(), cmd.OutOrStdout(), listen)
 		},
 	}
-	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:7100", "IP address and port of the entry instance")
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:7100", "IP address and port of the own API")
 	return cmd
 }
 
 func runDevAll(ctx context.Context, out io.Writer, listen string) error {
-	plat := standin.NewPlatform()
-	platformAddress, err := serveInBackground(ctx, plat)
+	platformCtx, end := context.WithCancel(context.WithoutCancel(ctx)) // the node hands over before the platform ends
+	defer end()
+	d, err := newDeployment(platformCtx, []byte(devConfig), devMachines)
 	if err != nil {
 		return err
 	}
-	for i, pool := range []string{"quick", "quick", "long", "spare"} {
-		id := fmt.Sprintf("worker-%d", i+1)
-		address, err := serveInBackground(ctx, standin.NewWorker(id, 8))
-		if err != nil {
-			return err
-		}
-		plat.Register(platform.Instance{
-			ID: id, Address: address, Pool: pool, Zone: fmt.Sprintf("az-%d", i%3+1), Rack: "rack-1",
-			State: platform.Live, Slots: 8, Cores: 16, MemoryGB: 32,
-		})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Annotate(err, "listening")
 	}
-	if err := seedDevLog(ctx, plat); err != nil {
+	failed := make(chan error, 1)
+	go func() { failed <- serveUntilDone(platformCtx, l, d) }()
+	go announceDev(ctx, out, listen)
+	log := hclog.New(&hclog.LoggerOptions{Name: "pollenford", Level: hclog.Warn})
+	err = runNode(ctx, nodeSettings{platform: devSettings(l.Addr().String()), own: devOwnSettings(listen)}, log, func() int64 { return 0 })
+	end()
+	if err != nil {
 		return err
 	}
-	s := devSettings(listen, "http://"+platformAddress)
-	entry := server.New(s, hclog.New(&hclog.LoggerOptions{Name: "pollenford", Level: hclog.Warn}))
-	go announceDev(ctx, out, s)
-	return entry.Run(ctx)
+	return <-failed
 }
 
-func serveInBackground(ctx context.Context, handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Annotate(err, "listening")
+func devSettings(platformAddress string) *platform.Settings {
+	const anyPort = "127.0.0.1:0" // nobody else connects to a single node
+	return &platform.Settings{
+		Entry: "entry-1", Zone: "az-1", ClientAddress: anyPort, ReadyAddress: anyPort, PeerAddress: anyPort, MetricsAddress: anyPort,
+		StoreAddress: platformAddress, InstanceAddress: platformAddress, MaxRecordBytes: 256 << 10, MaxCallBytes: 2 << 20,
+		Timing: platform.Timing{
+			MaxHold: 10 * time.Second, StopTime: 200 * time.Millisecond, Grace: time.Second, Status: 2 * time.Minute,
+			Move: standin.MoveTime, Upkeep: standin.UpkeepTime,
+		},
 	}
-	go func() { _ = serveListener(ctx, listener, handler) }()
-	return listener.Addr().String(), nil
-}
-
-func hexDigest(secret string) string {
-	sum := sha256.Sum256([]byte(secret))
-	return hex.EncodeToString(sum[:])
 }
 
-func devSettings(listen, platformURL string) *settings.Settings {
-	noGrace := int64(0) // there is no load balancer
+func devOwnSettings(listen string) *settings.Settings {
+	sum := sha256.Sum256([]byte(devToken))
 	return &settings.Settings{
-		Name: "entry-1", Zone: "az-1", Stop: settings.Stop{GraceMS: &noGrace},
-		Listen:     settings.Listen{API: listen, Peer: "127.0.0.1:0"},
-		Platform:   settings.Platform{URL: platformURL},
-		PeerSecret: "dev-only-peer-secret",
-		Operators:  []settings.Operator{{Name: "dev", TokenSHA256: hexDigest(devToken)}},
+		API:       &settings.API{Listen: listen},
+		Operators: []settings.Operator{{Name: "dev", TokenSHA256: hex.EncodeToString(sum[:])}},
 	}
 }
 
-// devConfig is the configuration of the embedded first try.
-const devConfig = `{
-  "organisations": {"demo": {"description": "sample organisation"}},
-  "teams": {"desk": {"organisation": "demo", "share": 2, "limit": 12}, "planning": {"organisation": "demo", "share": 1, "limit": 8}},
-  "pools": {"quick": {"max_unavailable": 1}, "long": {"max_unavailable": 1}, "spare": {"max_unavailable": 1, "spare": true}},
-  "queues": {"slot-search": {"pool": "quick"}, "round-planning": {"pool": "long"}}
-}`
-
-func seedDevLog(ctx context.Context, log platform.Log) error {
-	bodies := []struct {
-		kind fleet.Kind
-		body any
-	}{
-		{fleet.KindConfigPatch, fleet.ConfigPatch{Format: "merge", Patch: json.RawMessage(devConfig)}},
-		{fleet.KindKeyIssue, fleet.KeyIssue{Key: "dev-key", Team: devTeam, Digest: hexDigest(devKey)}},
-	}
-	for i, b := range bodies {
-		record, err := fleet.NewRecord(fmt.Sprintf("dev-%d", i), b.kind, "dev", b.body)
-		if err != nil {
-			return err
-		}
-		data, err := record.Encode()
-		if err != nil {
-			return err
-		}
-		if _, err := log.Append(ctx, [][]byte{data}); err != nil {
-			return errors.Annotate(err, "seeding the log")
-		}
-	}
-	return nil
-}
-
-// announceDev prints how to send a first request once the entry instance is ready.
-func announceDev(ctx context.Context, out io.Writer, s *settings.Settings) {
+// announceDev prints how to send a first request once the node is ready.
+func announceDev(ctx context.Context, out io.Writer, listen string) {
 	ctx, cancel := context.WithTimeout(ctx, devReady)
 	defer cancel()
-	base := "http://" + s.Listen.API
+	base := "http://" + listen
 	if err := awaitReady(ctx, base+"/readyz"); err != nil {
 		fmt.Fprintln(out, "not ready:", err)
 		return
 	}
 	fmt.Fprintf(out, `ready
-  entry instance   %[1]s
-  platform         %[2]s
-  team key         %[3]s
-  operator token   %[4]s
+  own API          %[1]s
+  key              %[2]s
+  operator token   %[3]s
 
 try:
-  curl -s -H 'Authorization: Bearer %[3]s' -H 'Content-Type: application/json' -d '{"echo":"hello","run_ms":20}' %[1]s/v1/queues/slot-search/requests
-`, base, s.Platform.URL, devKey, devToken)
+  curl -s -H 'Authorization: Bearer %[2]s' -d '{"echo":"hello","run_ms":20}' %[1]s/v1/queues/slot-search/requests
+  POLLENFORD_API=%[1]s POLLENFORD_TOKEN=%[3]s pollenford worker list
+`, base, devKey, devToken)
 }
 
 func awaitReady(ctx context.Context, url string) error {
@@ -283,9 +262,7 @@
 				return nil
 			}
 		}
-		select {
-		case <-time.After(50 * time.Millisecond):
-		case <-ctx.Done():
+		if !wait.For(ctx, 50*time.Millisecond) {
 			return errors.New("timed out waiting for readiness")
 		}
 	}
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -1,31 +1,39 @@
 package cli
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/spf13/cobra"
 
+	"github.com/pollenford/pollenford/internal/api"
+	"github.com/pollenford/pollenford/internal/burn"
 	"github.com/pollenford/pollenford/internal/entry"
 	"github.com/pollenford/pollenford/internal/logs"
 	"github.com/pollenford/pollenford/internal/metrics"
 	"github.com/pollenford/pollenford/internal/node"
+	"github.com/pollenford/pollenford/internal/operate"
 	"github.com/pollenford/pollenford/internal/owner"
+	"github.com/pollenford/pollenford/internal/settings"
 	"github.com/pollenford/pollenford/platform"
 )
 
 func newNode() *cobra.Command {
-	var level string
+	var own string
 	var check bool
 	cmd := &cobra.Command{
 		Use:   "node",
 		Short: "Run one instance of the job service on the platform",
 		Long: "Run one instance of the job service on the platform. The path of the platform's settings file is taken from the " +
-			"environment variable " + platform.SettingsVariable + ".",
+			"environment variable " + platform.SettingsVariable + ". The own settings are optional: without them there is no own API.",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, err := platform.LoadSettings()
+			s, err := loadSettings(own)
 			if err != nil {
 				return err
 			}
@@ -35,49 +43,109 @@
 			}
 			out := logs.NewWriter(cmd.OutOrStdout())
 			defer out.Close()
-			log := hclog.New(&hclog.LoggerOptions{
-				Name: "pollenford", Level: hclog.LevelFromString(level), JSONFormat: true, Output: out,
-			})
-			m := metrics.New(s.Entry, s.Zone)
-			defer func() {
-				if err := m.Close(); err != nil {
-					log.Warn("closing metrics", "err", err)
-				}
-			}()
-			return node.Run(cmd.Context(), nodeConfig(s, log, m, out))
+			log := hclog.New(&hclog.LoggerOptions{Name: "pollenford", Level: s.own.LogLevel(), JSONFormat: true, Output: out})
+			return runNode(cmd.Context(), s, log, out.Dropped)
 		},
 	}
-	cmd.Flags().StringVar(&level, "log-level", "info", "trace, debug, info, warn or error")
-	cmd.Flags().BoolVar(&check, "check", false, "check the settings file and report everything that is wrong")
+	cmd.Flags().StringVar(&own, "settings", "", "file with the own settings (JSON)")
+	cmd.Flags().BoolVar(&check, "check", false, "check both settings files and report everything that is wrong")
 	return cmd
 }
 
-func nodeConfig(s *platform.Settings, log hclog.Logger, m *metrics.Metrics, out *logs.Writer) node.Config {
+// nodeSettings are both files that a node reads.
+type nodeSettings struct {
+	path     string // of the own settings
+	platform *platform.Settings
+	own      *settings.Settings
+}
+
+func loadSettings(path string) (nodeSettings, error) {
+	fromPlatform, err := platform.LoadSettings()
+	if err != nil {
+		return nodeSettings{}, err
+	}
+	own, err := settings.Load(path)
+	return nodeSettings{path, fromPlatform, own}, err
+}
+
+// runNode runs a node until ctx ends and it has handed over.
+func runNode(ctx context.Context, s nodeSettings, log hclog.Logger, linesDropped func() int64) error {
+	m := metrics.New(s.platform.Entry, s.platform.Zone)
+	defer func() {
+		if err := m.Close(); err != nil {
+			log.Warn("closing metrics", "err", err)
+		}
+	}()
+	return node.Run(ctx, nodeConfig(s, log, m, linesDropped))
+}
+
+func nodeConfig(s nodeSettings, log hclog.Logger, m *metrics.Metrics, linesDropped func() int64) node.Config {
+	p := s.platform
+	var own atomic.Pointer[settings.Settings]
+	own.Store(s.own)
+	recorder := burn.NewRecorder(func() map[string]burn.Definition { return own.Load().Objectives })
+	observe := func(queue, organisation string, served bool, took time.Duration) {
+		recorder.Observe(queue, organisation, served, took, time.Now())
+	}
 	cfg := node.Config{
-		Name: s.Entry, ClientAddress: s.ClientAddress, ReadyAddress: s.ReadyAddress, PeerAddress: s.PeerAddress,
-		MetricsAddress: s.MetricsAddress, ReadyPath: platform.ReadyPath,
-		Store: platform.NewStore(s.StoreAddress), Workers: platform.NewWorkers(), Codec: platform.Codec{},
+		Name: p.Entry, ClientAddress: p.ClientAddress, ReadyAddress: p.ReadyAddress, PeerAddress: p.PeerAddress,
+		MetricsAddress: p.MetricsAddress, ReadyPath: platform.ReadyPath,
+		Store: platform.NewStore(p.StoreAddress), Workers: platform.NewWorkers(), Codec: platform.Codec{},
 		Timing: owner.Timing{
-			MaxHold: s.Timing.MaxHold, StopTime: s.Timing.StopTime, Early: s.Timing.Early, Status: s.Timing.Status, Move: s.Timing.Move, Upkeep: s.Timing.Upkeep,
+			MaxHold: p.Timing.MaxHold, StopTime: p.Timing.StopTime, Early: p.Timing.Early, Status: p.Timing.Status,
+			Move: p.Timing.Move, Upkeep: p.Timing.Upkeep,
 		},
-		Grace: s.Timing.Grace, MaxRecordBytes: s.MaxRecordBytes, MaxCallBytes: s.MaxCallBytes, MemoryMB: s.MemoryMB, Log: log,
-		Metrics: m.Handler, Scope: m.Scope, LogLinesDropped: out.Dropped,
+		Grace: p.Timing.Grace, MaxRecordBytes: p.MaxRecordBytes, MaxCallBytes: p.MaxCallBytes, MemoryMB: p.MemoryMB, Log: log,
+		Metrics: m.Handler, Scope: m.Scope, LogLinesDropped: linesDropped,
 		Front: func(e *entry.Entry) http.Handler {
-			return &platform.Front{Entry: e, Log: log.Named("front"), Scope: m.Scope}
-		},
-		Reload: func() {
-			if _, err := platform.LoadSettings(); err != nil {
-				log.Error("changed settings are not valid; the old ones stay in force", "err", err)
-				return
-			}
-			log.Info("settings read again; addresses and bounds apply from the next start")
+			return &platform.Front{Entry: e, Log: log.Named("front"), Scope: m.Scope, Observe: observe}
 		},
+		Reload: func() { reload(s.path, &own, log) },
 	}
-	if s.InstanceAddress != "" {
-		cfg.Control = platform.NewInstances(s.InstanceAddress)
+	if p.InstanceAddress != "" {
+		cfg.Control = platform.NewInstances(p.InstanceAddress)
 	}
-	if s.AdviceAddress != "" {
-		cfg.Advice = platform.NewAdvice(s.AdviceAddress)
+	if p.AdviceAddress != "" {
+		cfg.Advice = platform.NewAdvice(p.AdviceAddress)
+	}
+	if s.own.API != nil {
+		cfg.API = ownAPI(cfg, &own, recorder, observe)
 	}
 	return cfg
 }
+
+// reload reads both files again. Operators, objectives and the level of the log apply at once, the rest from the next
+// start.
+func reload(path string, own *atomic.Pointer[settings.Settings], log hclog.Logger) {
+	s, err := loadSettings(path)
+	if err != nil {
+		log.Error("changed settings are not valid; the old ones stay in force", "err", err)
+		return
+	}
+	own.Store(s.own)
+	log.SetLevel(s.own.LogLevel())
+	log.Info("settings read again", "operators", len(s.own.Operators), "objectives", len(s.own.Objectives))
+}
+
+func ownAPI(
+	cfg node.Config, own *atomic.Pointer[settings.Settings], recorder *burn.Recorder,
+	observe func(queue, organisation string, served bool, took time.Duration),
+) *node.API {
+	log := cfg.Log.Named("api")
+	configured := own.Load().API
+	return &node.API{
+		Address: configured.Listen,
+		Serve:   func(s *http.Server, l net.Listener) error { return api.Serve(s, l, configured.TLS, log) },
+		Handler: func(e *entry.Entry, notReady func() string) http.Handler {
+			requests := &api.Requests{Entry: e, Observe: observe, Log: log}
+			admin := &api.Admin{
+				Entry: e, Publisher: &operate.Publisher{Store: cfg.Store, Codec: cfg.Codec}, Log: log,
+				Operators: func() []settings.Operator { return own.Load().Operators },
+				Burn:      func() burn.Report { return recorder.Report(cfg.Name, time.Now()) },
+			}
+			return api.NewHandler(requests, admin, &api.Health{NotReady: notReady}, func(_ context.Context, _ http.ResponseWriter, err error) {
+				log.Warn("answer not written", "err", err)
+			})
+		},
+	}
+}
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -5,61 +5,21 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"os"
 	"strconv"
 
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
-
-	"github.com/pollenford/pollenford/internal/config"
 )
 
-// verdictView is the decision about a proposal as the API returns it.
-type verdictView struct {
-	ID      string `json:"id"`
-	Outcome string `json:"outcome"`
-	Version uint64 `json:"version"`
-	Offset  uint64 `json:"offset"`
-	Members []struct {
-		Member  string `json:"member"`
-		InForce bool   `json:"in_force"`
-		AfterMS int64  `json:"after_ms"`
-	} `json:"members,omitempty"`
-}
-
-func (c *adminClient) printVerdict(cmd *cobra.Command, v verdictView) error {
-	return c.print(cmd, v, func(w io.Writer) {
-		fmt.Fprintf(w, "%s, configuration version %d\n", v.Outcome, v.Version)
-		for _, m := range v.Members {
-			state := "not in force yet"
-			if m.InForce {
-				state = fmt.Sprintf("in force after %d ms", m.AfterMS)
-			}
-			fmt.Fprintf(w, "%s\t%s\n", m.Member, state)
-		}
-	})
-}
-
 type configView struct {
-	Version  uint64          `json:"version"`
+	Version  int64           `json:"version"`
 	Document json.RawMessage `json:"document"`
 }
 
-func (c *adminClient) config(cmd *cobra.Command) (configView, *config.Document, error) {
-	var view configView
-	if err := c.call(cmd.Context(), http.MethodGet, "/config", nil, nil, &view); err != nil {
-		return view, nil, err
-	}
-	doc, err := config.Decode(view.Document)
-	return view, doc, err
-}
-
 // operatorCommands returns the commands that use the administration API.
 func operatorCommands() []*cobra.Command {
-	groups := []func(c *adminClient) *cobra.Command{
-		newConfig, newPool, newTeam, newKey, newInstance, newMember, newWave, newMove, newReport,
-	}
+	groups := []func(c *adminClient) *cobra.Command{newConfig, newWorker, newWave, newReport}
 	var cmds []*cobra.Command
 	for _, group := range groups {
 		c := &adminClient{}
@@ -72,7 +32,7 @@
 
 func newConfig(c *adminClient) *cobra.Command {
 	cmd := &cobra.Command{Use: "config", Short: "Show and patch the configuration"}
-	cmd.AddCommand(newConfigGet(c), newConfigPatch(c), newConfigHistory(c))
+	cmd.AddCommand(newConfigGet(c), newConfigPatch(c))
 	return cmd
 }
 
@@ -82,55 +42,23 @@
 		Short: "Show the configuration and its version",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			view, doc, err := c.config(cmd)
-			if err != nil {
+			var view configView
+			if err := c.call(cmd.Context(), http.MethodGet, "/config", nil, nil, &view); err != nil {
 				return err
 			}
 			return c.print(cmd, view, func(w io.Writer) {
-				text, _ := json.MarshalIndent(doc, "", "  ") // a decoded document always encodes
+				text, err := json.MarshalIndent(view.Document, "", "  ")
+				if err != nil {
+					text = view.Document
+				}
 				fmt.Fprintf(w, "version %d\n%s\n", view.Version, text)
 			})
 		},
 	}
 }
 
-// patchOptions are the flags of every command that patches the configuration.
-type patchOptions struct {
-	version  int64
-	wait     bool
-	recordID string
-}
-
-func (o *patchOptions) flags(cmd *cobra.Command) {
-	f := cmd.Flags()
-	f.Int64Var(&o.version, "version", -1, "configuration version that the change is made for; the current one if absent")
-	f.BoolVar(&o.wait, "wait", false, "wait until every entry instance has the change in force")
-	f.StringVar(&o.recordID, "record-id", "", "idempotency key; a repeated call with it changes nothing more")
-}
-
-// patch sends a patch for the version of the options or, if absent, for the current version.
-func (c *adminClient) patch(cmd *cobra.Command, o patchOptions, contentType string, patch []byte) error {
-	if o.version < 0 {
-		view, _, err := c.config(cmd)
-		if err != nil {
-			return err
-		}
-		o.version = int64(view.Version)
-	}
-	header := http.Header{"Content-Type": {contentType}, "If-Match": {strconv.FormatInt(o.version, 10)}}
-	if o.recordID != "" {
-		header.Set("Idempotency-Key", o.recordID)
-	}
-	var verdict verdictView
-	path := "/config?wait=" + strconv.FormatBool(o.wait)
-	if err := c.call(cmd.Context(), http.MethodPatch, path, header, patch, &verdict); err != nil {
-		return err
-	}
-	return c.printVerdict(cmd, verdict)
-}
-
 func newConfigPatch(c *adminClient) *cobra.Command {
-	var o patchOptions
+	var version int64
 	var file string
 	var jsonPatch bool
 	cmd := &cobra.Command{
@@ -146,15 +74,32 @@
 			if jsonPatch {
 				contentType = "application/json-patch+json"
 			}
-			return c.patch(cmd, o, contentType, data)
+			return c.patch(cmd, version, contentType, data)
 		},
 	}
-	o.flags(cmd)
-	cmd.Flags().StringVarP(&file, "file", "f", "-", "file with the patch; - is standard input")
-	cmd.Flags().BoolVar(&jsonPatch, "json-patch", false, "the patch is a JSON patch (RFC 6902)")
+	f := cmd.Flags()
+	f.Int64Var(&version, "version", -1, "configuration version that the change is made for; the current one if absent")
+	f.StringVarP(&file, "file", "f", "-", "file with the patch; - is standard input")
+	f.BoolVar(&jsonPatch, "json-patch", false, "the patch is a JSON patch (RFC 6902)")
 	return cmd
 }
 
+// patch sends a patch for a version or, if it is negative, for the current version.
+func (c *adminClient) patch(cmd *cobra.Command, version int64, contentType string, patch []byte) error {
+	var view configView
+	if version < 0 {
+		if err := c.call(cmd.Context(), http.MethodGet, "/config", nil, nil, &view); err != nil {
+			return err
+		}
+		version = view.Version
+	}
+	header := http.Header{"Content-Type": {contentType}, "If-Match": {strconv.FormatInt(version, 10)}}
+	if err := c.call(cmd.Context(), http.MethodPatch, "/config", header, patch, &view); err != nil {
+		return err
+	}
+	return c.print(cmd, view, func(w io.Writer) { fmt.Fprintf(w, "published, configuration version %d\n", view.Version) })
+}
+
 func readFile(stdin io.Reader, path string) ([]byte, error) {
 	if path == "-" {
 		data, err := io.ReadAll(stdin)
@@ -164,276 +109,114 @@
 	return data, errors.Trace(err)
 }
 
-func newConfigHistory(c *adminClient) *cobra.Command {
-	return &cobra.Command{
-		Use:   "history",
-		Short: "List the most recent configuration changes",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var changes []struct {
-				Version uint64 `json:"version"`
-				Offset  uint64 `json:"offset"`
-				Record  string `json:"record"`
-				Author  string `json:"author"`
-			}
-			if err := c.call(cmd.Context(), http.MethodGet, "/config/history", nil, nil, &changes); err != nil {
-				return err
-			}
-			return c.print(cmd, changes, func(w io.Writer) {
-				fmt.Fprintln(w, "VERSION\tOFFSET\tAUTHOR\tRECORD")
-				for _, ch := range changes {
-					fmt.Fprintf(w, "%d\t%d\t%s\t%s\n", ch.Version, ch.Offset, ch.Author, ch.Record)
-				}
-			})
-		},
-	}
+type fleetView struct {
+	Owner   string       `json:"owner"`
+	Term    int64        `json:"term"`
+	Workers []workerView `json:"workers"`
+	Waves   []waveView   `json:"waves"`
 }
 
-// mergePatch builds a merge patch that sets one entry of a section, or removes it when entry is nil.
-func mergePatch(section, name string, entry map[string]any) ([]byte, error) {
-	var value any
-	if entry != nil {
-		value = entry
-	}
-	data, err := json.Marshal(map[string]any{section: map[string]any{name: value}})
-	return data, errors.Trace(err)
+type workerView struct {
+	ID        string  `json:"id"`
+	Pool      string  `json:"pool"`
+	Zone      string  `json:"zone"`
+	Rack      string  `json:"rack"`
+	Instance  string  `json:"instance"`
+	Phase     string  `json:"phase"`
+	Runs      int     `json:"runs"`
+	UsedCores float64 `json:"used_cores"`
+	Cores     float64 `json:"cores"`
 }
 
-// newSet returns a command that sets fields of one entry of a configuration section from changed flags.
-func newSet(c *adminClient, section, what string, addFlags func(cmd *cobra.Command), fields map[string]string) *cobra.Command {
-	var o patchOptions
-	cmd := &cobra.Command{
-		Use:   "set NAME",
-		Short: "Create or change a " + what,
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			entry := map[string]any{}
-			for flag, field := range fields {
-				if !cmd.Flags().Changed(flag) {
-					continue
-				}
-				entry[field] = flagValue(cmd, flag)
-			}
-			patch, err := mergePatch(section, args[0], entry)
-			if err != nil {
-				return err
-			}
-			return c.patch(cmd, o, "application/merge-patch+json", patch)
-		},
-	}
-	o.flags(cmd)
-	addFlags(cmd)
-	return cmd
+type waveView struct {
+	Number int64  `json:"number"`
+	Status string `json:"status"`
+	Total  int    `json:"total"`
+	Begun  int    `json:"begun"`
 }
 
-// flagValue returns a flag's value as a JSON value: numbers and booleans keep their type.
-func flagValue(cmd *cobra.Command, name string) any {
-	flag := cmd.Flags().Lookup(name)
-	if flag.Value.Type() == "string" {
-		return flag.Value.String()
-	}
-	return json.RawMessage(flag.Value.String())
-}
-
-func newDelete(c *adminClient, section, what string) *cobra.Command {
-	var o patchOptions
-	cmd := &cobra.Command{
-		Use:   "delete NAME",
-		Short: "Delete a " + what,
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			patch, err := mergePatch(section, args[0], nil)
-			if err != nil {
-				return err
-			}
-			return c.patch(cmd, o, "application/merge-patch+json", patch)
-		},
-	}
-	o.flags(cmd)
-	return cmd
+func (c *adminClient) fleet(cmd *cobra.Command) (fleetView, error) {
+	var view fleetView
+	err := c.call(cmd.Context(), http.MethodGet, "/fleet", nil, nil, &view)
+	return view, err
 }
 
-func newPool(c *adminClient) *cobra.Command {
-	cmd := &cobra.Command{Use: "pool", Short: "Manage pools"}
-	list := &cobra.Command{
+func newWorker(c *adminClient) *cobra.Command {
+	cmd := &cobra.Command{Use: "worker", Short: "Show workers"}
+	cmd.AddCommand(&cobra.Command{
 		Use:   "list",
-		Short: "List pools",
+		Short: "List the workers as the owner sees them",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			_, doc, err := c.config(cmd)
+			view, err := c.fleet(cmd)
 			if err != nil {
 				return err
 			}
-			return c.print(cmd, doc.Pools, func(w io.Writer) {
-				fmt.Fprintln(w, "POOL\tMAX UNAVAILABLE\tSPARE")
-				for _, name := range sortedKeys(doc.Pools) {
-					p := doc.Pools[name]
-					fmt.Fprintf(w, "%s\t%d\t%t\n", name, p.MaxUnavailable, p.Spare)
+			return c.print(cmd, view, func(w io.Writer) {
+				fmt.Fprintf(w, "owner %s, term %d\n", view.Owner, view.Term)
+				fmt.Fprintln(w, "WORKER\tPOOL\tZONE\tRACK\tINSTANCE\tPHASE\tRUNS\tCORES")
+				for _, v := range view.Workers {
+					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%g of %g\n", v.ID, v.Pool, v.Zone, v.Rack, v.Instance, v.Phase, v.Runs, v.UsedCores, v.Cores)
 				}
 			})
 		},
-	}
-	set := newSet(c, "pools", "pool", func(cmd *cobra.Command) {
-		cmd.Flags().Int("max-unavailable", 0, "availability budget: instances that may be out of service at once")
-		cmd.Flags().Bool("spare", false, "the pool lends its instances at a peak")
-	}, map[string]string{"max-unavailable": "max_unavailable", "spare": "spare"})
-	cmd.AddCommand(list, set, newDelete(c, "pools", "pool"))
+	})
 	return cmd
 }
 
-func newTeam(c *adminClient) *cobra.Command {
-	cmd := &cobra.Command{Use: "team", Short: "Manage teams"}
-	list := &cobra.Command{
-		Use:   "list",
-		Short: "List teams",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			_, doc, err := c.config(cmd)
-			if err != nil {
-				return err
-			}
-			return c.print(cmd, doc.Teams, func(w io.Writer) {
-				fmt.Fprintln(w, "TEAM\tORGANISATION\tSHARE\tLIMIT")
-				for _, name := range sortedKeys(doc.Teams) {
-					t := doc.Teams[name]
-					fmt.Fprintf(w, "%s\t%s\t%g\t%d\n", name, t.Organisation, t.Share, t.Limit)
-				}
-			})
-		},
-	}
-	set := newSet(c, "teams", "team", func(cmd *cobra.Command) {
-		cmd.Flags().String("organisation", "", "organisation of the team")
-		cmd.Flags().Float64("share", 1, "weight when a pool is full")
-		cmd.Flags().Int("limit", 1, "tasks that run at once over the whole fleet")
-	}, map[string]string{"organisation": "organisation", "share": "share", "limit": "limit"})
-	cmd.AddCommand(list, set, newDelete(c, "teams", "team"))
-	return cmd
+func (c *adminClient) printWaves(cmd *cobra.Command, value any, waves []waveView) error {
+	return c.print(cmd, value, func(w io.Writer) {
+		fmt.Fprintln(w, "WAVE\tSTATUS\tBEGUN\tTOTAL")
+		for _, v := range waves {
+			fmt.Fprintf(w, "%d\t%s\t%d\t%d\n", v.Number, v.Status, v.Begun, v.Total)
+		}
+	})
 }
 
-func newKey(c *adminClient) *cobra.Command {
-	cmd := &cobra.Command{Use: "key", Short: "Issue and withdraw keys of teams"}
-	cmd.AddCommand(newKeyIssue(c), newKeyWithdraw(c), newKeyList(c))
-	return cmd
+// waveStart is the body of a wave.
+type waveStart struct {
+	Number    int64    `json:"number"`
+	Instances []string `json:"instances"`
+	AtOnce    int      `json:"at_once"`
+	DeadlineS float64  `json:"deadline_s"`
 }
 
-func newKeyIssue(c *adminClient) *cobra.Command {
-	return &cobra.Command{
-		Use:   "issue TEAM",
-		Short: "Issue a key; it is shown only once",
+func newWave(c *adminClient) *cobra.Command {
+	cmd := &cobra.Command{Use: "wave", Short: "Run maintenance waves"}
+	var body waveStart
+	start := &cobra.Command{
+		Use:   "start NUMBER",
+		Short: "Start the upkeep of instances",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			var res struct {
-				KeyID   string      `json:"key_id"`
-				Key     string      `json:"key"`
-				Verdict verdictView `json:"verdict"`
+			number, err := strconv.ParseInt(args[0], 10, 64)
+			if err != nil {
+				return &codedError{exitInvalid, errors.NotValidf("wave number %q", args[0])}
 			}
-			body := map[string]string{"team": args[0]}
-			if err := c.call(cmd.Context(), http.MethodPost, "/keys", nil, body, &res); err != nil {
+			body.Number = number
+			var view waveView
+			if err := c.call(cmd.Context(), http.MethodPost, "/waves", nil, body, &view); err != nil {
 				return err
 			}
-			return c.print(cmd, res, func(w io.Writer) {
-				fmt.Fprintf(w, "key ID\t%s\nkey\t%s\n", res.KeyID, res.Key)
-			})
+			return c.printWaves(cmd, view, []waveView{view})
 		},
 	}
-}
-
-func newKeyWithdraw(c *adminClient) *cobra.Command {
-	var wait bool
-	cmd := &cobra.Command{
-		Use:   "withdraw KEY-ID",
-		Short: "Withdraw a key",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			var verdict verdictView
-			path := "/keys/" + url.PathEscape(args[0]) + "?wait=" + strconv.FormatBool(wait)
-			if err := c.call(cmd.Context(), http.MethodDelete, path, nil, nil, &verdict); err != nil {
-				return err
-			}
-			return c.printVerdict(cmd, verdict)
-		},
-	}
-	cmd.Flags().BoolVar(&wait, "wait", false, "wait until every entry instance has the change in force")
-	return cmd
-}
-
-func newKeyList(c *adminClient) *cobra.Command {
-	return &cobra.Command{
+	f := start.Flags()
+	f.StringSliceVar(&body.Instances, "instances", nil, "instances to maintain")
+	f.IntVar(&body.AtOnce, "at-once", 1, "instances that may be down for the wave at a time")
+	f.Float64Var(&body.DeadlineS, "deadline", 0, "time in seconds in which the wave is to be over")
+	list := &cobra.Command{
 		Use:   "list",
-		Short: "List the keys in force",
+		Short: "List waves with their progress",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			var keys []struct {
-				KeyID  string `json:"key_id"`
-				Team   string `json:"team"`
-				Issued uint64 `json:"issued"`
-			}
-			if err := c.call(cmd.Context(), http.MethodGet, "/keys", nil, nil, &keys); err != nil {
+			view, err := c.fleet(cmd)
+			if err != nil {
 				return err
 			}
-			return c.print(cmd, keys, func(w io.Writer) {
-				fmt.Fprintln(w, "KEY ID\tTEAM\tISSUED")
-				for _, k := range keys {
-					fmt.Fprintf(w, "%s\t%s\t%d\n", k.KeyID, k.Team, k.Issued)
-				}
-			})
+			return c.printWaves(cmd, view.Waves, view.Waves)
 		},
 	}
-}
-
-func newInstance(c *adminClient) *cobra.Command {
-	cmd := &cobra.Command{Use: "instance", Short: "Show worker instances"}
-	cmd.AddCommand(&cobra.Command{
-		Use:   "list",
-		Short: "List instances with their pool and service state",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var list []struct {
-				ID      string `json:"id"`
-				Pool    string `json:"pool"`
-				Zone    string `json:"zone"`
-				Rack    string `json:"rack"`
-				Phase   string `json:"phase"`
-				Healthy bool   `json:"healthy"`
-				Wave    string `json:"wave"`
-			}
-			if err := c.call(cmd.Context(), http.MethodGet, "/instances", nil, nil, &list); err != nil {
-				return err
-			}
-			return c.print(cmd, list, func(w io.Writer) {
-				fmt.Fprintln(w, "INSTANCE\tPOOL\tZONE\tRACK\tPHASE\tHEALTHY\tWAVE")
-				for _, i := range list {
-					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%t\t%s\n", i.ID, i.Pool, i.Zone, i.Rack, i.Phase, i.Healthy, i.Wave)
-				}
-			})
-		},
-	})
-	return cmd
-}
-
-func newMember(c *adminClient) *cobra.Command {
-	cmd := &cobra.Command{Use: "member", Short: "Show entry instances"}
-	cmd.AddCommand(&cobra.Command{
-		Use:   "list",
-		Short: "List the agreed entry instances",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var list []struct {
-				Name        string `json:"name"`
-				Incarnation uint64 `json:"incarnation"`
-				Address     string `json:"address"`
-				Zone        string `json:"zone"`
-			}
-			if err := c.call(cmd.Context(), http.MethodGet, "/members", nil, nil, &list); err != nil {
-				return err
-			}
-			return c.print(cmd, list, func(w io.Writer) {
-				fmt.Fprintln(w, "MEMBER\tINCARNATION\tADDRESS\tZONE")
-				for _, m := range list {
-					fmt.Fprintf(w, "%s\t%d\t%s\t%s\n", m.Name, m.Incarnation, m.Address, m.Zone)
-				}
-			})
-		},
-	})
+	cmd.AddCommand(start, list)
 	return cmd
 }
--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -15,8 +15,8 @@
 	cmd.AddCommand(&cobra.Command{
 		Use:   "burn",
 		Short: "Report the error budgets and burn rates of the service-level objectives",
-		Long: `Burn reports the requests, the burn rates and the error budget left of every service-level objective, summed over all
-entry instances. The output format is text, json or html; the page has everything in one file.`,
+		Long: `Burn reports the requests, the burn rates and the error budget left of every service-level objective, summed over the
+entry instances that --api lists. The output format is text, json or html; the page has everything in one file.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error { return c.reportBurn(cmd) },
 	})
@@ -25,9 +25,27 @@
 
 func (c *adminClient) reportBurn(cmd *cobra.Command) error {
 	var report burn.Report
-	if err := c.call(cmd.Context(), http.MethodGet, "/burn", nil, nil, &report); err != nil {
-		return err
+	first := true
+	var missing []string
+	for _, base := range c.bases {
+		var one burn.Report
+		if err := c.callAt(cmd.Context(), base, http.MethodGet, "/burn", nil, nil, &one); err != nil {
+			if len(c.bases) == 1 {
+				return err
+			}
+			missing = append(missing, base+" ("+err.Error()+")")
+			continue
+		}
+		if first {
+			report, first = one, false
+			continue
+		}
+		report.Merge(one)
 	}
+	if first {
+		return errors.New("no entry instance answered")
+	}
+	report.Missing = missing
 	out := cmd.OutOrStdout()
 	switch c.output {
 	case "text":
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -24,4 +24,9 @@
 	// DecodeWorker returns an error for an entry that names no worker to use.
 	DecodeWorker(record topic.Record) (workers.Info, error)
 	EncodeWaveStatus(wave int64, completed bool) topic.Record
+	// ConfigKey is the key of the configuration among the operators' records.
+	ConfigKey() string
+	// SetVersion returns a configuration document with another version.
+	SetVersion(document []byte, version int64) ([]byte, error)
+	EncodeWave(wave *instances.Wave) (topic.Record, error)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,7 +43,9 @@
 	Elector *leader.Elector
 	// Local returns the service when this process is the owner, or nil.
 	Local func() jobs.Service
-	Log   hclog.Logger
+	// Decode reads a document that the owner sends because its configuration is newer.
+	Decode func(document []byte) (*catalog.Catalog, error)
+	Log    hclog.Logger
 
 	catalog   atomic.Pointer[catalog.Catalog]
 	connected atomic.Pointer[link.Client] // to the present owner, nil without a connection
@@ -74,58 +76,99 @@
 	// Rest is the path behind the queue's prefix.
 	Rest    string
 	Version int64
+
+	route func(c *catalog.Catalog) (q *catalog.Queue, rest string)
+	key   string
 }
 
 // Admit routes and authenticates a request by one version of the configuration.
 func (e *Entry) Admit(host, path, key string) (Admission, error) {
+	a := Admission{key: key, route: func(c *catalog.Catalog) (*catalog.Queue, string) { return c.Route(host, path) }}
+	return a, e.admit(&a)
+}
+
+// AdmitQueue authenticates a request for a queue that it names.
+func (e *Entry) AdmitQueue(name, key string) (Admission, error) {
+	a := Admission{key: key, route: func(c *catalog.Catalog) (*catalog.Queue, string) { return c.Queues[name], "" }}
+	return a, e.admit(&a)
+}
+
+// admit decides by the configuration in force now.
+func (e *Entry) admit(a *Admission) error {
 	c := e.catalog.Load()
 	if c == nil {
-		return Admission{}, ErrNotReady
+		return ErrNotReady
 	}
-	q, rest := c.Route(host, path)
-	if q == nil {
-		return Admission{Version: c.Version}, ErrNoQueue
+	a.Version, a.Organisation = c.Version, ""
+	if a.Queue, a.Rest = a.route(c); a.Queue == nil {
+		return ErrNoQueue
 	}
-	a := Admission{Queue: q, Rest: rest, Version: c.Version}
-	if o := c.KeyOwner(key); o != nil {
+	if o := c.KeyOwner(a.key); o != nil {
 		a.Organisation = o.Name
-	} else if !q.Open {
-		return a, ErrUnknownKey
+	} else if !a.Queue.Open {
+		return ErrUnknownKey
 	}
-	return a, nil
+	return nil
 }
 
-// Submit hands a job in.
-func (e *Entry) Submit(ctx context.Context, job *workload.Job) error {
+// Submit hands a job in for the queue and the organisation of an admission.
+func (e *Entry) Submit(ctx context.Context, a *Admission, job *workload.Job) error {
 	if err := job.Check(); err != nil {
 		return &jobs.Rejection{Reason: err.Error(), Permanent: true}
 	}
-	return e.withOwner(ctx, changing, func(s jobs.Service) error { return s.Submit(ctx, job) })
+	return e.withOwner(ctx, a, changing, func(s jobs.Service) error {
+		job.Queue, job.Organisation = a.Queue.Name, a.Organisation
+		return s.Submit(ctx, job)
+	})
 }
 
 // Status returns the state of a job.
-func (e *Entry) Status(ctx context.Context, id, organisation string) (status jobs.Status, err error) {
-	err = e.withOwner(ctx, reading, func(s jobs.Service) (err error) {
-		status, err = s.Status(ctx, id, organisation)
+func (e *Entry) Status(ctx context.Context, a *Admission, id string) (status jobs.Status, err error) {
+	err = e.withOwner(ctx, a, reading, func(s jobs.Service) (err error) {
+		status, err = s.Status(ctx, id, a.Organisation)
 		return err
 	})
 	return status, err
 }
 
 // Cancel cancels a job.
-func (e *Entry) Cancel(ctx context.Context, id, organisation string) error {
-	return e.withOwner(ctx, changing, func(s jobs.Service) error { return s.Cancel(ctx, id, organisation) })
+func (e *Entry) Cancel(ctx context.Context, a *Admission, id string) error {
+	return e.withOwner(ctx, a, changing, func(s jobs.Service) error { return s.Cancel(ctx, id, a.Organisation) })
 }
 
-// Pending returns the number of jobs of a queue that have not begun.
-func (e *Entry) Pending(ctx context.Context, queue string) (n int, err error) {
-	err = e.withOwner(ctx, reading, func(s jobs.Service) (err error) {
-		n, err = s.Pending(ctx, queue)
+// Pending returns the number of jobs of the admission's queue that have not begun.
+func (e *Entry) Pending(ctx context.Context, a *Admission) (n int, err error) {
+	err = e.withOwner(ctx, a, reading, func(s jobs.Service) (err error) {
+		n, err = s.Pending(ctx, a.Queue.Name)
 		return err
 	})
 	return n, err
 }
 
+// Await returns the state of a job once it has ended. It goes on across changes of the owner until ctx ends.
+func (e *Entry) Await(ctx context.Context, a *Admission, id string) (jobs.Status, error) {
+	for {
+		var status jobs.Status
+		err := e.withOwner(ctx, a, reading, func(s jobs.Service) (err error) {
+			status, err = s.Await(ctx, id, a.Organisation)
+			return err
+		})
+		var rejection *jobs.Rejection
+		if !errors.As(err, &rejection) || !wait.For(ctx, ownerWait) {
+			return status, err
+		}
+	}
+}
+
+// Fleet returns the state of workers and waves.
+func (e *Entry) Fleet(ctx context.Context) (fleet jobs.Fleet, err error) {
+	err = e.withOwner(ctx, nil, reading, func(s jobs.Service) (err error) {
+		fleet, err = s.Fleet(ctx)
+		return err
+	})
+	return fleet, err
+}
+
 // effect tells whether a call changes anything at the owner.
 type effect bool
 
@@ -136,8 +179,9 @@
 
 // withOwner calls the owner. All calls are idempotent, so one whose connection broke is made again. Without an owner a
 // call is rejected soon; one that may have changed something goes on until its outcome is known or its time is over,
-// because only then a rejection would be true.
-func (e *Entry) withOwner(ctx context.Context, kind effect, call func(jobs.Service) error) error {
+// because only then a rejection would be true. A request that was admitted by an older configuration than the owner's is
+// admitted again.
+func (e *Entry) withOwner(ctx context.Context, a *Admission, kind effect, call func(jobs.Service) error) error {
 	giveUp := time.Now().Add(ownerWait)
 	uncertain := false
 	var last error = errors.New("there is no owner")
@@ -146,6 +190,12 @@
 			err := call(service)
 			var rejection *jobs.Rejection
 			switch {
+			case errors.Is(err, jobs.ErrStale):
+				if refusal := e.readmit(a); refusal != nil && uncertain {
+					return errors.Annotate(jobs.ErrOutcomeUnknown, refusal.Error())
+				} else if refusal != nil {
+					return refusal
+				}
 			case errors.Is(err, jobs.ErrOutcomeUnknown):
 				uncertain = uncertain || kind == changing
 			case errors.As(err, &rejection) && !rejection.Permanent && !rejection.Overloaded:
@@ -167,6 +217,35 @@
 	}
 }
 
+// readmit decides on a request by the configuration that was just learned of. Calls of operators need no admission.
+func (e *Entry) readmit(a *Admission) error {
+	if a == nil {
+		return nil
+	}
+	older := a.Version
+	err := e.admit(a)
+	e.Log.Info("request admitted again", "by", a.Version, "before", older, "err", err)
+	return err
+}
+
+// Version implements link.Configuration.
+func (e *Entry) Version() int64 {
+	if c := e.catalog.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// Learn implements link.Configuration.
+func (e *Entry) Learn(document []byte) {
+	c, err := e.Decode(document)
+	if err != nil {
+		e.Log.Error("the owner's configuration is not readable", "err", err)
+		return
+	}
+	e.SetCatalog(c)
+}
+
 // owner returns the owner as far as it can be reached, or nil.
 func (e *Entry) owner() jobs.Service {
 	if local := e.Local(); local != nil {
@@ -216,7 +295,7 @@
 		}
 	}()
 	lost := make(chan struct{})
-	client, err := link.Dial(ctx, owner.Address, owner.Incarnation, func() { close(lost) })
+	client, err := link.Dial(ctx, owner.Address, owner.Incarnation, e, func() { close(lost) })
 	if err != nil {
 		return err
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -90,6 +90,8 @@
 	current Owner         // protected by mu
 	known   bool          // protected by mu
 	changed chan struct{} // closed when current changes; protected by mu
+	endTerm func()        // ends the present term, nil without one; protected by mu
+	leaving bool          // protected by mu
 
 	end      int64     // of the partition, as far as it was read
 	lastSeen time.Time // of a record, or of the first successful read after an outage
@@ -143,6 +145,33 @@
 	e.current, e.known = o, true
 }
 
+// Leave ends the term of this instance, if it has one, and lets it begin no other. Run goes on following the owner, so
+// that requests in hand reach the next one.
+func (e *Elector) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+	if e.endTerm != nil {
+		e.endTerm()
+	}
+}
+
+// setTerm notes how the present term is ended, nil after it.
+func (e *Elector) setTerm(end func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.endTerm = end
+	if e.leaving && end != nil {
+		end()
+	}
+}
+
+func (e *Elector) isLeaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving
+}
+
 // Run takes part until ctx ends. An owner releases its record before Run returns.
 func (e *Elector) Run(ctx context.Context) {
 	e.end = -1
@@ -161,7 +190,7 @@
 			wait.For(ctx, retryEvery)
 			continue
 		}
-		if e.vacant() && e.Eligible() {
+		if !e.isLeaving() && e.vacant() && e.Eligible() {
 			e.campaign(ctx)
 		}
 	}
@@ -247,6 +276,8 @@
 	term := NewTerm(o.Fence, gone)
 	term.renewed.Store(sent)
 	termCtx, cancel := context.WithCancel(ctx)
+	e.setTerm(cancel)
+	defer e.setTerm(nil)
 	renewed := make(chan struct{})
 	go func() {
 		defer close(renewed)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 
+	"github.com/pollenford/pollenford/internal/catalog"
 	"github.com/pollenford/pollenford/internal/jobs"
 	"github.com/pollenford/pollenford/internal/workload"
 )
@@ -24,6 +25,8 @@
 	// pingEvery and pingTimeout find a connection that went silent within half of the shortest deadline of a client (3 s).
 	pingEvery   = 500 * time.Millisecond
 	pingTimeout = 500 * time.Millisecond
+	// callTimeout bounds a call whose caller has no deadline of its own: the longest that the own API allows.
+	callTimeout = 10 * time.Minute
 	// maxMessage holds the largest job: the platform's largest body (256 KiB) and its envelope.
 	maxMessage = 512 << 10
 	// Path is where a Server is mounted.
@@ -37,6 +40,8 @@
 	status
 	cancel
 	pending
+	await
+	fleet
 )
 
 type request struct {
@@ -46,6 +51,8 @@
 	JobID        string        `cbor:"4,keyasint,omitempty"`
 	Organisation string        `cbor:"5,keyasint,omitempty"`
 	Queue        string        `cbor:"6,keyasint,omitempty"`
+	// Version is the configuration that the caller decided by.
+	Version int64 `cbor:"8,keyasint,omitempty"`
 	// LeftMS is how long the caller still waits, in milliseconds.
 	LeftMS int64 `cbor:"7,keyasint,omitempty"`
 }
@@ -57,6 +64,7 @@
 	rejected
 	noSuchJob
 	unknown
+	stale
 )
 
 type answer struct {
@@ -65,6 +73,9 @@
 	Reason  *jobs.Rejection `cbor:"3,keyasint,omitempty"`
 	Status  jobs.Status     `cbor:"4,keyasint,omitempty"`
 	Pending int             `cbor:"5,keyasint,omitempty"`
+	Fleet   *jobs.Fleet     `cbor:"6,keyasint,omitempty"`
+	// Document is the newer configuration for a caller that decided by an older one.
+	Document []byte `cbor:"7,keyasint,omitempty"`
 }
 
 // ErrOtherProcess means that another process than the owner's answers at its address: the owner's has ended.
@@ -79,7 +90,9 @@
 	Incarnation string
 	// Owner returns the service when this process is the owner, or nil.
 	Owner func() jobs.Service
-	Log   hclog.Logger
+	// Catalog returns the configuration in force, or nil.
+	Catalog func() *catalog.Catalog
+	Log     hclog.Logger
 }
 
 // notOwner refuses a call that reached an instance which is not the owner.
@@ -136,6 +149,9 @@
 	if owner == nil {
 		return answer{Result: rejected, Reason: notOwner}
 	}
+	if c := s.Catalog(); c != nil && req.Version < c.Version {
+		return answer{Result: stale, Document: c.Document}
+	}
 	var res answer
 	var err error
 	switch req.Kind {
@@ -150,6 +166,12 @@
 		err = owner.Cancel(ctx, req.JobID, req.Organisation)
 	case pending:
 		res.Pending, err = owner.Pending(ctx, req.Queue)
+	case await:
+		res.Status, err = owner.Await(ctx, req.JobID, req.Organisation)
+	case fleet:
+		var f jobs.Fleet
+		f, err = owner.Fleet(ctx)
+		res.Fleet = &f
 	default:
 		err = &jobs.Rejection{Reason: "unknown kind of request", Permanent: true}
 	}
@@ -166,8 +188,17 @@
 	return res
 }
 
+// Configuration is what a client decides by and what it learns from the owner.
+type Configuration interface {
+	// Version returns the version of the configuration in force, 0 without one.
+	Version() int64
+	// Learn puts a document in force unless a newer one is.
+	Learn(document []byte)
+}
+
 // Client calls the owner at one address. It implements jobs.Service.
 type Client struct {
+	config Configuration
 	conn   *websocket.Conn
 	stop   context.CancelFunc
 	nextID atomic.Uint64
@@ -178,7 +209,7 @@
 }
 
 // Dial connects to the process of the owner at an address (IP:port). onLost is called once when the connection ends.
-func Dial(ctx context.Context, address, incarnation string, onLost func()) (*Client, error) {
+func Dial(ctx context.Context, address, incarnation string, config Configuration, onLost func()) (*Client, error) {
 	dialCtx, stopDial := context.WithTimeout(ctx, dialTimeout)
 	defer stopDial()
 	target := "ws://" + address + Path + "?" + url.Values{incarnationParameter: {incarnation}}.Encode()
@@ -191,7 +222,7 @@
 	}
 	conn.SetReadLimit(maxMessage)
 	runCtx, stop := context.WithCancel(ctx)
-	c := &Client{conn: conn, stop: stop, waiting: map[uint64]chan answer{}}
+	c := &Client{config: config, conn: conn, stop: stop, waiting: map[uint64]chan answer{}}
 	go c.ping(runCtx)
 	go func() {
 		c.read(runCtx)
@@ -257,6 +288,9 @@
 
 func (c *Client) call(ctx context.Context, req request) (answer, error) {
 	req.ID = c.nextID.Add(1)
+	req.Version = c.config.Version()
+	ctx, stop := context.WithTimeout(ctx, callTimeout)
+	defer stop()
 	if deadline, ok := ctx.Deadline(); ok {
 		req.LeftMS = time.Until(deadline).Milliseconds()
 	}
@@ -278,8 +312,8 @@
 		c.mu.Unlock()
 	}()
 	// A write that is cut short ends the connection for all callers, so it does not depend on this caller's patience.
-	writeCtx, stop := context.WithTimeout(context.WithoutCancel(ctx), pingTimeout)
-	defer stop()
+	writeCtx, stopWrite := context.WithTimeout(context.WithoutCancel(ctx), pingTimeout)
+	defer stopWrite()
 	if err := c.conn.Write(writeCtx, websocket.MessageBinary, data); err != nil {
 		return answer{}, errors.Annotate(jobs.ErrOutcomeUnknown, err.Error())
 	}
@@ -288,6 +322,9 @@
 		if !ok {
 			return answer{}, errors.Annotate(jobs.ErrOutcomeUnknown, "the connection to the owner was lost")
 		}
+		if a.Result == stale {
+			c.config.Learn(a.Document)
+		}
 		return a, a.err()
 	case <-ctx.Done():
 		return answer{}, errors.Annotate(jobs.ErrOutcomeUnknown, "the owner did not answer in time")
@@ -304,6 +341,8 @@
 		}
 	case noSuchJob:
 		return jobs.ErrNoSuchJob
+	case stale:
+		return jobs.ErrStale
 	}
 	return jobs.ErrOutcomeUnknown
 }
@@ -331,3 +370,21 @@
 	a, err := c.call(ctx, request{Kind: pending, Queue: queue})
 	return a.Pending, err
 }
+
+// Await implements jobs.Service.
+func (c *Client) Await(ctx context.Context, id, organisation string) (jobs.Status, error) {
+	a, err := c.call(ctx, request{Kind: await, JobID: id, Organisation: organisation})
+	return a.Status, err
+}
+
+// Fleet implements jobs.Service.
+func (c *Client) Fleet(ctx context.Context) (jobs.Fleet, error) {
+	a, err := c.call(ctx, request{Kind: fleet})
+	if err != nil {
+		return jobs.Fleet{}, err
+	}
+	if a.Fleet == nil {
+		return jobs.Fleet{}, errors.NotValidf("the owner's answer without a fleet")
+	}
+	return *a.Fleet, nil
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,166 @@
+package link
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+
+	"github.com/pollenford/pollenford/internal/catalog"
+	"github.com/pollenford/pollenford/internal/jobs"
+	"github.com/pollenford/pollenford/internal/workload"
+)
+
+// service answers every call with what a test set.
+type service struct {
+	err    error
+	status jobs.Status
+	fleet  jobs.Fleet
+	calls  int
+}
+
+func (s *service) Submit(context.Context, *workload.Job) error { s.calls++; return s.err }
+func (s *service) Status(context.Context, string, string) (jobs.Status, error) {
+	s.calls++
+	return s.status, s.err
+}
+func (s *service) Cancel(context.Context, string, string) error { s.calls++; return s.err }
+func (s *service) Await(context.Context, string, string) (jobs.Status, error) {
+	return s.status, s.err
+}
+func (s *service) Pending(context.Context, string) (int, error) { return 7, s.err }
+func (s *service) Fleet(context.Context) (jobs.Fleet, error)    { return s.fleet, s.err }
+
+// config is the configuration of the calling side.
+type config struct {
+	version int64
+	learned []byte
+}
+
+func (c *config) Version() int64 { return c.version }
+func (c *config) Learn(d []byte) { c.learned, c.version = d, c.version+1 }
+
+// connect returns a client of a server for an owner, which has configuration 2.
+func connect(t *testing.T, owner jobs.Service, c *config) *Client {
+	t.Helper()
+	current := catalog.New(2, nil, nil, nil, catalog.HTTPLimits{})
+	current.Document = []byte("version 2")
+	server := httptest.NewServer(&Server{
+		Incarnation: "one", Owner: func() jobs.Service { return owner }, Catalog: func() *catalog.Catalog { return current }, Log: hclog.NewNullLogger(),
+	})
+	t.Cleanup(server.Close)
+	client, err := Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), "one", c, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.Close)
+	return client
+}
+
+// Guards what callers are told: each kind of answer arrives as what the owner said.
+func TestAnswersArriveAsTheyAre(t *testing.T) {
+	s := &service{}
+	client := connect(t, s, &config{version: 2})
+	rejection := &jobs.Rejection{Reason: "full", RetryAfter: time.Second, Overloaded: true}
+	for _, c := range []struct {
+		err  error
+		want func(error) bool
+	}{
+		{nil, func(err error) bool { return err == nil }},
+		{jobs.ErrNoSuchJob, func(err error) bool { return errors.Is(err, jobs.ErrNoSuchJob) }},
+		{errors.New("odd"), func(err error) bool { return errors.Is(err, jobs.ErrOutcomeUnknown) }},
+		{rejection, func(err error) bool {
+			var got *jobs.Rejection
+			return errors.As(err, &got) && *got == *rejection
+		}},
+	} {
+		s.err = c.err
+		if err := client.Submit(t.Context(), &workload.Job{ID: "a"}); !c.want(err) {
+			t.Errorf("%v arrived as %v", c.err, err)
+		}
+	}
+	s.err = nil
+	s.status = jobs.Status{State: workload.Failed, Begun: true, Interrupted: true, Fingerprint: "f", Answer: "a"}
+	if status, err := client.Await(t.Context(), "a", "org"); err != nil || status != s.status {
+		t.Errorf("%+v %v", status, err)
+	}
+	s.fleet = jobs.Fleet{Owner: "o", Fence: 3, Workers: []jobs.Worker{{ID: "w", Phase: jobs.Lost}}, Waves: []jobs.Wave{{Number: 1, Completed: true}}}
+	if f, err := client.Fleet(t.Context()); err != nil || f.Owner != "o" || f.Workers[0] != s.fleet.Workers[0] || f.Waves[0] != s.fleet.Waves[0] {
+		t.Errorf("%+v %v", f, err)
+	}
+	if n, err := client.Pending(t.Context(), "q"); err != nil || n != 7 {
+		t.Errorf("%d %v", n, err)
+	}
+}
+
+// Guards requests that were admitted by an old configuration, such as those of an instance that was suspended: nothing is
+// done for them, and the caller learns the newer configuration even if the store does not reach it.
+func TestOlderConfigurationIsNotServed(t *testing.T) {
+	s, c := &service{}, &config{version: 1}
+	client := connect(t, s, c)
+	if err := client.Submit(t.Context(), &workload.Job{ID: "a"}); !errors.Is(err, jobs.ErrStale) || s.calls != 0 {
+		t.Errorf("%v, %d calls reached the owner", err, s.calls)
+	}
+	if string(c.learned) != "version 2" {
+		t.Errorf("learned %q", c.learned)
+	}
+	if err := client.Submit(t.Context(), &workload.Job{ID: "a"}); err != nil || s.calls != 1 {
+		t.Errorf("with the newer configuration: %v, %d calls", err, s.calls)
+	}
+}
+
+// Guards against calls that reach another process at the owner's address.
+func TestOtherProcess(t *testing.T) {
+	server := httptest.NewServer(&Server{Incarnation: "two", Log: hclog.NewNullLogger()})
+	t.Cleanup(server.Close)
+	if _, err := Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), "one", &config{}, func() {}); !errors.Is(err, ErrOtherProcess) {
+		t.Errorf("%v", err)
+	}
+}
+
+// FuzzRequest guards the owner against requests of the inner protocol that another release or a fault made: each is
+// answered, and none ends the process.
+func FuzzRequest(f *testing.F) {
+	for _, req := range []request{
+		{}, {Kind: submit}, {Kind: submit, Job: &workload.Job{ID: "a", Steps: []workload.Step{{Count: 1}}}}, {Kind: await, JobID: "a"},
+		{Kind: fleet, Version: 9}, {Kind: 99, LeftMS: -1},
+	} {
+		data, err := cbor.Marshal(req)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	s := &Server{Owner: func() jobs.Service { return &service{} }, Catalog: func() *catalog.Catalog { return nil }, Log: hclog.NewNullLogger()}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var req request
+		if cbor.Unmarshal(data, &req) != nil {
+			return
+		}
+		if _, err := cbor.Marshal(s.do(t.Context(), req)); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// FuzzAnswer guards callers against answers of the inner protocol.
+func FuzzAnswer(f *testing.F) {
+	for _, a := range []answer{{}, {Result: rejected}, {Result: stale, Document: []byte("{}")}, {Result: 77, Status: jobs.Status{State: 9}}} {
+		data, err := cbor.Marshal(a)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var a answer
+		if cbor.Unmarshal(data, &a) == nil && a.Result != succeeded && a.err() == nil {
+			t.Errorf("result %d is taken for success", a.Result)
+		}
+	})
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -15,8 +15,8 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
-	"github.com/pollenford/pollenford/internal/standin"
 	"github.com/pollenford/pollenford/internal/wait"
+	"github.com/pollenford/pollenford/platform/standin"
 )
 
 // Options configures a run.
@@ -24,7 +24,7 @@
 	Profile Profile
 	// Entries are the base URLs of entry instances; each request goes to a random one.
 	Entries []string
-	// Keys are the teams' keys.
+	// Keys are the organisations' keys.
 	Keys map[string]string
 	// Rate is the mean rate in requests per second.
 	Rate     float64
@@ -155,14 +155,12 @@
 	h.Set("Content-Type", "application/json")
 	h.Set("Pollenford-Deadline-Ms", strconv.FormatInt(class.Deadline.Milliseconds(), 10))
 	h.Set("Pollenford-Idempotent", strconv.FormatBool(class.Idempotent))
-	h.Set("Pollenford-Preemptible", strconv.FormatBool(class.Preemptible))
-	if class.Urgent {
-		h.Set("Pollenford-Priority", "urgent")
-	}
+	h.Set("Pollenford-Resumable", strconv.FormatBool(class.Resumable))
+	h.Set("Pollenford-Estimate-Ms", strconv.FormatInt(class.Run.Milliseconds(), 10))
 	if key != "" {
 		h.Set("Idempotency-Key", key)
 	}
-	if secret := g.opts.Keys[class.Team]; secret != "" {
+	if secret := g.opts.Keys[class.Organisation]; secret != "" {
 		h.Set("Authorization", "Bearer "+secret)
 	}
 	return req, nil
@@ -171,7 +169,7 @@
 // classify tells the outcome of an answer, and checks that an answer belongs to its request.
 func classify(status int, body []byte, echo string) outcome {
 	if status == http.StatusOK {
-		var answer standin.WorkAnswer
+		var answer standin.Answer
 		if json.Unmarshal(body, &answer) != nil || answer.Echo != echo {
 			return outcomeWrongAnswer
 		}
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -12,18 +12,17 @@
 
 // Class is one kind of request of a workload.
 type Class struct {
-	Name  string
-	Queue string
-	Team  string
+	Name         string
+	Queue        string
+	Organisation string
 	// Weight is the class's part of the mean rate, relative to the other classes.
 	Weight float64
 	// Run is the median run time at the worker; run times are spread log-normally around it.
 	Run time.Duration
 	// Deadline of each request.
-	Deadline    time.Duration
-	Idempotent  bool
-	Urgent      bool
-	Preemptible bool
+	Deadline   time.Duration
+	Idempotent bool
+	Resumable  bool
 	// Keyed requests carry an Idempotency-Key and are repeated with it when their outcome is unknown.
 	Keyed bool
 }
@@ -37,16 +36,16 @@
 // profiles are the workloads of the two deployments. Run times are scaled down so that a run of seconds shows the mix.
 var profiles = []Profile{
 	{Name: "cruite-rounds", Classes: []Class{
-		{Name: "quote", Queue: "quotes", Team: "quotes", Weight: 40, Run: 20 * time.Millisecond, Deadline: 2 * time.Second, Idempotent: true, Urgent: true},
-		{Name: "slot-search", Queue: "slot-search", Team: "slots", Weight: 40, Run: 30 * time.Millisecond, Deadline: 2 * time.Second, Idempotent: true, Urgent: true},
-		{Name: "booking", Queue: "bookings", Team: "bookings", Weight: 10, Run: 20 * time.Millisecond, Deadline: 5 * time.Second, Urgent: true, Keyed: true},
-		{Name: "round-planning", Queue: "round-planning", Team: "planning", Weight: 1, Run: 2 * time.Second, Deadline: 60 * time.Second, Idempotent: true, Preemptible: true},
-		{Name: "feed", Queue: "feeds", Team: "feeds", Weight: 1, Run: 3 * time.Second, Deadline: 60 * time.Second, Idempotent: true, Preemptible: true},
+		{Name: "quote", Queue: "quotes", Organisation: "quotes", Weight: 40, Run: 20 * time.Millisecond, Deadline: 2 * time.Second, Idempotent: true},
+		{Name: "slot-search", Queue: "slot-search", Organisation: "slots", Weight: 40, Run: 30 * time.Millisecond, Deadline: 2 * time.Second, Idempotent: true},
+		{Name: "booking", Queue: "bookings", Organisation: "bookings", Weight: 10, Run: 20 * time.Millisecond, Deadline: 5 * time.Second, Keyed: true},
+		{Name: "round-planning", Queue: "round-planning", Organisation: "planning", Weight: 1, Run: 2 * time.Second, Deadline: 60 * time.Second, Idempotent: true, Resumable: true},
+		{Name: "feed", Queue: "feeds", Organisation: "feeds", Weight: 1, Run: 3 * time.Second, Deadline: 60 * time.Second, Idempotent: true, Resumable: true},
 	}},
 	{Name: "snra", Classes: []Class{
-		{Name: "sounding-check", Queue: "sounding-checks", Team: "soundings", Weight: 60, Run: 25 * time.Millisecond, Deadline: 3 * time.Second, Idempotent: true, Urgent: true},
-		{Name: "launch-log", Queue: "launch-logs", Team: "launches", Weight: 30, Run: 15 * time.Millisecond, Deadline: 5 * time.Second, Urgent: true, Keyed: true},
-		{Name: "station-history", Queue: "station-histories", Team: "histories", Weight: 1, Run: 4 * time.Second, Deadline: 120 * time.Second, Idempotent: true, Preemptible: true},
+		{Name: "sounding-check", Queue: "sounding-checks", Organisation: "soundings", Weight: 60, Run: 25 * time.Millisecond, Deadline: 3 * time.Second, Idempotent: true},
+		{Name: "launch-log", Queue: "launch-logs", Organisation: "launches", Weight: 30, Run: 15 * time.Millisecond, Deadline: 5 * time.Second, Keyed: true},
+		{Name: "station-history", Queue: "station-histories", Organisation: "histories", Weight: 1, Run: 4 * time.Second, Deadline: 120 * time.Second, Idempotent: true, Resumable: true},
 	}},
 	{Name: "open", Classes: []Class{
 		{Name: "walk-in", Queue: "walk-in", Weight: 1, Run: 2 * time.Millisecond, Deadline: 5 * time.Second, Idempotent: true},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/pollenford/pollenford/internal/advice"
+	"github.com/pollenford/pollenford/internal/catalog"
 	"github.com/pollenford/pollenford/internal/directory"
 	"github.com/pollenford/pollenford/internal/entry"
 	"github.com/pollenford/pollenford/internal/instances"
@@ -51,6 +52,8 @@
 	MemoryMB                     int
 	// Front makes the handler for clients.
 	Front func(*entry.Entry) http.Handler
+	// API serves the own API; nil switches it off.
+	API *API
 	// Metrics serves scrapes, Scope takes counters and histograms; LogLinesDropped counts lines not yet reported.
 	Metrics         http.Handler
 	Scope           tally.Scope
@@ -60,6 +63,15 @@
 	Log    hclog.Logger
 }
 
+// API is the own API of a node.
+type API struct {
+	Address string // IP:port
+	// Handler makes the handler. notReady returns why the node should get no new connections, or "".
+	Handler func(e *entry.Entry, notReady func() string) http.Handler
+	// Serve serves a listener, with TLS if it is configured.
+	Serve func(*http.Server, net.Listener) error
+}
+
 // Timing of the process.
 const (
 	// leaveTime is how long a stopping node still accepts connections: two failed readiness checks, a second apart.
@@ -67,8 +79,10 @@
 	// exitReserve is left of the grace for the end of the process.
 	exitReserve = 500 * time.Millisecond
 	// headerTimeout and idleTimeout apply until a configuration gives its own.
-	headerTimeout  = 3 * time.Second
-	idleTimeout    = 15 * time.Second
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+	// bodyTimeout ends requests of the own API whose body does not arrive.
+	bodyTimeout    = 10 * time.Second
 	configWait     = 2 * time.Second
 	reportEvery    = time.Second // the time between two updates of gauges, as often as metrics are reported
 	memoryPercent  = 60          // of the memory limit, from which the garbage collector works harder
@@ -98,47 +112,47 @@
 		Self:     leader.Owner{Name: cfg.Name, Incarnation: uuid.NewString(), Address: cfg.PeerAddress},
 		Eligible: func() bool { return !n.stopping.Load() && n.entry.Catalog() != nil },
 	}
-	n.entry = &entry.Entry{Elector: n.elector, Local: n.local, Log: cfg.Log.Named("entry")}
+	n.entry = &entry.Entry{Elector: n.elector, Local: n.local, Decode: n.decodeCatalog, Log: cfg.Log.Named("entry")}
 
-	listeners, err := n.listen()
-	if err != nil {
+	servers := n.servers()
+	if err := n.start(servers); err != nil {
 		return err
 	}
 	n.log.Info("started", "node", cfg.Name, "client_address", cfg.ClientAddress, "peer_address", cfg.PeerAddress)
-	servers := n.servers()
-	for i, server := range servers {
-		go func() {
-			if err := server.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
-				n.log.Error("server ended", "address", listeners[i].Addr(), "err", err)
-			}
-		}()
-	}
 	go n.followCatalog(life)
 	go n.entry.Connect(life)
 	go n.watchReload(life)
 	go n.reportState(life)
-	electorCtx, leave := context.WithCancel(life)
 	var election sync.WaitGroup
-	election.Go(func() { n.elector.Run(electorCtx) })
+	election.Go(func() { n.elector.Run(life) })
 
 	<-ctx.Done()
 	n.log.Info("stopping", "grace", cfg.Grace)
 	n.stopping.Store(true)
-	leave()
-	n.finish(servers[0])
+	n.elector.Leave()
+	n.finish(servers)
+	end()
 	election.Wait()
 	n.log.Info("stopped")
 	return nil
 }
 
 // finish takes new connections until the platform has noticed, then completes what is in hand.
-func (n *node) finish(clients *http.Server) {
+func (n *node) finish(servers []server) {
 	deadline, stop := context.WithTimeout(context.Background(), n.cfg.Grace-exitReserve)
 	defer stop()
 	wait.For(deadline, leaveTime)
-	if err := clients.Shutdown(deadline); err != nil {
-		n.log.Warn("requests were cut at the end of the grace", "err", err)
+	var ending sync.WaitGroup
+	for _, s := range servers {
+		if s.clients {
+			ending.Go(func() {
+				if err := s.Shutdown(deadline); err != nil {
+					n.log.Warn("requests were cut at the end of the grace", "address", s.address, "err", err)
+				}
+			})
+		}
 	}
+	ending.Wait()
 }
 
 // local returns the service of the owner in this process, or nil.
@@ -149,6 +163,11 @@
 	return nil
 }
 
+func (n *node) decodeCatalog(document []byte) (*catalog.Catalog, error) {
+	decoded, err := n.cfg.Codec.DecodeOperator(topic.Record{Key: n.cfg.Codec.ConfigKey(), Value: document})
+	return decoded.Catalog, err
+}
+
 func (n *node) serveAsOwner(ctx context.Context, term *leader.Term) error {
 	o := owner.New(ctx, owner.Config{
 		Store: n.cfg.Store, Workers: n.cfg.Workers, Control: n.cfg.Control, Advice: n.cfg.Advice,
@@ -164,36 +183,73 @@
 	return o.Run()
 }
 
-func (n *node) listen() ([]net.Listener, error) {
-	var all []net.Listener
-	for _, address := range []string{n.cfg.ClientAddress, n.cfg.ReadyAddress, n.cfg.PeerAddress, n.cfg.MetricsAddress} {
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			return nil, errors.Annotate(err, "listening")
+// server is one of the node's HTTP servers.
+type server struct {
+	*http.Server
+	address string
+	// clients tells that its requests are completed before the process ends.
+	clients bool
+	serve   func(*http.Server, net.Listener) error
+}
+
+// start listens on all addresses, then serves.
+func (n *node) start(servers []server) error {
+	listeners := make([]net.Listener, len(servers))
+	for i, s := range servers {
+		var err error
+		if listeners[i], err = net.Listen("tcp", s.address); err != nil {
+			return errors.Annotate(err, "listening")
 		}
-		all = append(all, l)
 	}
-	return all, nil
+	for i, s := range servers {
+		go func() {
+			if err := s.serve(s.Server, listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				n.log.Error("server ended", "address", s.address, "err", err)
+			}
+		}()
+	}
+	return nil
+}
+
+// notReady returns why the node should get no new connections, or "".
+func (n *node) notReady() string {
+	switch {
+	case n.stopping.Load():
+		return "stopping"
+	case n.entry.Catalog() == nil:
+		return "no configuration has arrived yet"
+	}
+	return ""
 }
 
-func (n *node) servers() []*http.Server {
+func (n *node) servers() []server {
 	ready := http.NewServeMux()
 	ready.HandleFunc(n.cfg.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if n.stopping.Load() || n.entry.Catalog() == nil {
+		if n.notReady() != "" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
 	peers := http.NewServeMux()
-	peers.Handle(link.Path, &link.Server{Incarnation: n.elector.Self.Incarnation, Owner: n.local, Log: n.cfg.Log.Named("link")})
-	logger := n.cfg.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{InferLevels: true})
-	return []*http.Server{
-		{
-			Handler: n.cfg.Front(n.entry), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: maxHeaderBytes, ErrorLog: logger,
-		},
-		{Handler: ready, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: logger},
-		{Handler: peers, ReadHeaderTimeout: headerTimeout, ErrorLog: logger},
-		{Handler: n.cfg.Metrics, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: logger},
+	peers.Handle(link.Path, &link.Server{Incarnation: n.elector.Self.Incarnation, Owner: n.local, Catalog: n.entry.Catalog, Log: n.cfg.Log.Named("link")})
+	plain := func(s *http.Server, l net.Listener) error { return s.Serve(l) }
+	list := []server{
+		{n.httpServer(n.cfg.Front(n.entry)), n.cfg.ClientAddress, true, plain},
+		{n.httpServer(ready), n.cfg.ReadyAddress, false, plain},
+		{n.httpServer(peers), n.cfg.PeerAddress, false, plain},
+		{n.httpServer(n.cfg.Metrics), n.cfg.MetricsAddress, false, plain},
+	}
+	if api := n.cfg.API; api != nil {
+		s := n.httpServer(api.Handler(n.entry, n.notReady))
+		s.ReadTimeout = bodyTimeout
+		list = append(list, server{s, api.Address, true, api.Serve})
+	}
+	return list
+}
+
+func (n *node) httpServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: n.cfg.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{InferLevels: true}),
 	}
 }
 
--- /dev/null
+++ b/internal/operate/operate_test.go
@@ -0,0 +1,155 @@
+package operate_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+
+	"github.com/juju/errors"
+
+	"github.com/pollenford/pollenford/internal/finding"
+	"github.com/pollenford/pollenford/internal/instances"
+	"github.com/pollenford/pollenford/internal/operate"
+	"github.com/pollenford/pollenford/internal/topic"
+	"github.com/pollenford/pollenford/internal/topic/topictest"
+	"github.com/pollenford/pollenford/platform"
+)
+
+const document = `{"routes":[{"name":"q","host":"h","path_prefix":"/q/","service":"p"}],"services":[{"name":"p"}],"tenants":[{"name":"o","api_keys":["k"]}]}`
+
+func newPublisher(t *testing.T) (*operate.Publisher, *topictest.Store) {
+	store := &topictest.Store{}
+	p := &operate.Publisher{Store: store, Codec: platform.Codec{}}
+	if _, err := p.Patch(t.Context(), 0, operate.MergePatch, []byte(document)); err != nil {
+		t.Fatal(err)
+	}
+	return p, store
+}
+
+// Guards operators who race: of two patches for one version one is published and the other learns the new version.
+func TestOneOfTwoRacingPatchesIsPublished(t *testing.T) {
+	p, _ := newPublisher(t)
+	var published, conflicts int
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			_, err := p.Patch(t.Context(), 1, operate.MergePatch, []byte(`{"limits":{"max_body_bytes":9}}`))
+			var version *operate.VersionError
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil:
+				published++
+			case errors.As(err, &version) && version.Current == 2:
+				conflicts++
+			default:
+				t.Errorf("unexpected error: %v", err)
+			}
+		})
+	}
+	all.Wait()
+	doc, err := p.Config(t.Context())
+	if published != 1 || conflicts != 7 || doc.Version != 2 || err != nil {
+		t.Errorf("%d published, %d conflicts, version %d, %v", published, conflicts, doc.Version, err)
+	}
+}
+
+// Guards against patches that are published in part: a refused one changes nothing and names everything that is wrong.
+func TestRefusedPatchChangesNothing(t *testing.T) {
+	p, _ := newPublisher(t)
+	for name, c := range map[string]struct {
+		format operate.Format
+		patch  string
+		places int
+	}{
+		"unknown pool":    {operate.MergePatch, `{"services":[]}`, 1},
+		"two mistakes":    {operate.MergePatch, `{"services":[],"tenants":[{"name":"o","weight":-1}]}`, 2},
+		"no such path":    {operate.JSONPatch, `[{"op":"remove","path":"/nothing"}]`, 1},
+		"no patch":        {operate.JSONPatch, `{}`, 1},
+		"no document":     {operate.MergePatch, `7`, 1},
+		"wrong type":      {operate.MergePatch, `{"routes":{}}`, 1},
+		"grows by copies": {operate.JSONPatch, copies(), 1},
+	} {
+		_, err := p.Patch(t.Context(), 1, c.format, []byte(c.patch))
+		var findings finding.List
+		if !errors.As(err, &findings) || len(findings) != c.places {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	doc, err := p.Config(t.Context())
+	if doc.Version != 1 || err != nil {
+		t.Errorf("version %d, %v", doc.Version, err)
+	}
+	if doc, err = p.Patch(t.Context(), 1, operate.JSONPatch, []byte(`[{"op":"replace","path":"/tenants/0/api_keys","value":["new"]}]`)); err != nil || doc.Version != 2 {
+		t.Errorf("a good patch: %+v %v", doc, err)
+	}
+}
+
+// copies is a patch that doubles the document again and again.
+func copies() string {
+	type operation struct {
+		Op   string `json:"op"`
+		From string `json:"from"`
+		Path string `json:"path"`
+	}
+	var list []operation
+	for range 30 {
+		list = append(list, operation{"copy", "/routes", "/routes/0"})
+	}
+	data, err := json.Marshal(list)
+	if err != nil {
+		panic(err)
+	}
+	return string(data)
+}
+
+// lossy carries out the next append without an answer, or loses it altogether.
+type lossy struct {
+	topic.Store
+	carryOut bool
+	lost     bool
+}
+
+func (s *lossy) Append(ctx context.Context, name topic.Name, batch topic.Batch) (int64, int64, error) {
+	if s.lost {
+		return s.Store.Append(ctx, name, batch)
+	}
+	s.lost = true
+	if s.carryOut {
+		if _, _, err := s.Store.Append(ctx, name, batch); err != nil {
+			return 0, 0, err
+		}
+	}
+	return 0, 0, errors.New("no answer")
+}
+
+// Guards the truth about a lost answer: what was carried out is reported so, anything else is unknown and never refused.
+func TestLostAnswer(t *testing.T) {
+	for _, carriedOut := range []bool{true, false} {
+		p, store := newPublisher(t)
+		p.Store = &lossy{Store: store, carryOut: carriedOut}
+		_, err := p.Patch(t.Context(), 1, operate.MergePatch, []byte(`{"limits":{"max_body_bytes":9}}`))
+		if carriedOut && err != nil || !carriedOut && !errors.Is(err, operate.ErrOutcomeUnknown) {
+			t.Errorf("carried out %v: %v", carriedOut, err)
+		}
+	}
+}
+
+// Guards waves: a number belongs to one wave, and a store that is away publishes nothing.
+func TestWaves(t *testing.T) {
+	p, store := newPublisher(t)
+	wave := &instances.Wave{Number: 4, Instances: []string{"a", "b"}, AtOnce: 1}
+	if err := p.StartWave(t.Context(), wave); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.StartWave(t.Context(), wave); !errors.Is(err, operate.ErrWaveExists) {
+		t.Errorf("the same number again: %v", err)
+	}
+	store.Set(topictest.Faults{Down: true})
+	wave.Number = 5
+	if err := p.StartWave(t.Context(), wave); !errors.Is(err, topic.ErrNotDone) {
+		t.Errorf("while the store is away: %v", err)
+	}
+}
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -79,6 +79,7 @@
 				j.unsaved--
 				j.fresh = false
 				j.recorded = statuses[i]
+				j.tellWaiters()
 			}
 			runAll(effects)
 		})
--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -327,6 +327,10 @@
 	}
 	lasting := false
 	for _, p := range worker.placements() {
+		if p.step().Once {
+			lasting = true // the upkeep waits for its end
+			continue
+		}
 		if p.step().LongRunning {
 			lasting = true
 			if p.stopping || !o.mayStop(p) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -123,11 +123,15 @@
 	fresh    bool        // no append with the job is acknowledged yet
 	forgot   bool        // the job itself is no longer recorded
 	recorded jobs.Status // as acknowledged by the store
+	waiters  []func()    // called once the end of the job is recorded
 	plan     plan
 }
 
 func (j *job) status() jobs.Status {
-	return jobs.Status{State: j.progress.State, Begun: j.progress.Begun}
+	return jobs.Status{
+		State: j.progress.State, Begun: j.progress.Begun, Interrupted: j.progress.Interrupted,
+		Fingerprint: j.progress.Fingerprint, Answer: j.progress.Answer,
+	}
 }
 
 type endedJob struct {
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -86,7 +86,7 @@
 		return // the worker started anew meanwhile
 	}
 	if p.stopping || !w.synced || !o.leading() {
-		o.lose(w, p, "it was not ordered")
+		o.lose(w, p, workload.NeverBegan, "it was not ordered")
 		return
 	}
 	order.UntilMS = o.lease(w)
@@ -128,7 +128,7 @@
 		if errors.Is(err, workers.ErrUnhealthy) {
 			w.health.failed(time.Now())
 		}
-		o.lose(w, p, "the worker refused it")
+		o.lose(w, p, workload.NeverBegan, "the worker refused it")
 	default:
 		o.metrics.unanswered.Inc(1)
 		o.log.Warn("start without an answer", "task", p.name, "run", p.run, "worker", w.info.ID, "err", err)
@@ -222,27 +222,34 @@
 	j := p.job
 	o.release(w, p)
 	lasts := j.spec.Steps[p.ref.Step].LongRunning
+	ending := workload.Interrupted
 	switch end.How {
 	case workers.Done:
+		ending = workload.Succeeded
 		w.health.succeeded()
 	case workers.Failed:
+		ending = workload.Errored
 		if !lasts {
 			w.health.failed(time.Now())
 		}
 	}
+	if j.spec.KeepsAnswer && len(end.Checkpoint) > o.cfg.MaxRecordBytes/2 {
+		o.log.Warn("answer too large to be kept", "task", end.Task, "run", end.Run, "bytes", len(end.Checkpoint))
+		ending, end.Checkpoint = workload.Errored, ""
+	}
 	if end.How != workers.Done {
 		o.log.Info("run ended", "task", end.Task, "run", end.Run, "worker", w.info.ID, "how", end.How)
 	}
-	outcome := j.progress.End(j.spec, p.ref, p.run, end.How == workers.Done, end.How == workers.Failed, end.Checkpoint, o.maxFailures(j))
+	outcome := j.progress.End(j.spec, p.ref, p.run, ending, end.Checkpoint, o.maxFailures(j))
 	o.afterEnd(j, outcome)
 }
 
 // lose takes note that a run is not there any more, or never was, without an end.
-func (o *Owner) lose(w *worker, p *placement, why string) {
+func (o *Owner) lose(w *worker, p *placement, ending workload.Ending, why string) {
 	o.metrics.lost.Inc(1)
 	o.log.Info("run lost", "task", p.name, "run", p.run, "worker", w.info.ID, "why", why)
 	o.release(w, p)
-	o.afterEnd(p.job, p.job.progress.End(p.job.spec, p.ref, p.run, false, false, "", 0))
+	o.afterEnd(p.job, p.job.progress.End(p.job.spec, p.ref, p.run, ending, "", 0))
 }
 
 func (o *Owner) afterEnd(j *job, outcome workload.Outcome) {
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -1,7 +1,10 @@
 package owner
 
 import (
+	"cmp"
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -131,6 +134,69 @@
 	})
 }
 
+// Await implements jobs.Service.
+func (o *Owner) Await(ctx context.Context, id, organisation string) (jobs.Status, error) {
+	var status jobs.Status
+	err := o.ask(ctx, func(r reply) {
+		j := o.find(id, organisation)
+		if j == nil {
+			r.give(jobs.ErrNoSuchJob)
+			return
+		}
+		j.waiters = append(j.waiters, func() { status = j.recorded; r.give(nil) })
+		j.tellWaiters()
+	})
+	if err != nil {
+		return jobs.Status{}, err
+	}
+	return status, nil
+}
+
+// tellWaiters answers those who wait for the end of a job once it is recorded.
+func (j *job) tellWaiters() {
+	if j.recorded.State == workload.Active {
+		return
+	}
+	runAll(j.waiters)
+	j.waiters = nil
+}
+
+// Fleet implements jobs.Service.
+func (o *Owner) Fleet(ctx context.Context) (jobs.Fleet, error) {
+	f := jobs.Fleet{Owner: o.cfg.Name, Fence: o.term.Fence}
+	err := o.ask(ctx, func(r reply) {
+		for _, w := range o.workers {
+			f.Workers = append(f.Workers, w.view())
+		}
+		for _, w := range o.fleet.waves {
+			f.Waves = append(f.Waves, jobs.Wave{
+				Number: w.Number, Total: len(w.Instances), Begun: len(w.begun), Completed: w.progress.Completed,
+			})
+		}
+		r.give(nil)
+	})
+	if err != nil {
+		return jobs.Fleet{}, err
+	}
+	slices.SortFunc(f.Workers, func(a, b jobs.Worker) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(f.Waves, func(a, b jobs.Wave) int { return cmp.Compare(a.Number, b.Number) })
+	return f, nil
+}
+
+func (w *worker) view() jobs.Worker {
+	v := jobs.Worker{
+		ID: w.info.ID, Pool: w.info.Pool, Zone: w.info.Zone, Rack: w.info.Rack, Instance: w.info.Instance,
+		Phase: jobs.InService, Runs: len(w.runs), UsedCPU: w.used.resources.CPU, CPU: w.info.Capacity.CPU,
+	}
+	switch {
+	case !w.present || !w.synced:
+		v.Phase = jobs.Lost
+	case w.info.Draining || w.cordoned:
+		v.Phase = jobs.Draining
+	}
+	return v
+}
+
 // Pending implements jobs.Service.
 func (o *Owner) Pending(ctx context.Context, queue string) (int, error) {
 	n := 0
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 
 	"github.com/pollenford/pollenford/internal/topic"
@@ -183,7 +184,7 @@
 	w.info.Incarnation = incarnation
 	for _, p := range w.placements() {
 		if t := p.job.progress.Task(p.ref); t != nil && t.Incarnation != incarnation {
-			o.lose(w, p, "the worker started anew")
+			o.lose(w, p, workload.Interrupted, "the worker started anew")
 		}
 	}
 	w.endsSeen, w.endsRecorded, w.clockMS, w.synced = 0, 0, 0, false
@@ -200,7 +201,7 @@
 			continue
 		}
 		for _, p := range other.placements() {
-			o.lose(other, p, "its instance has started anew")
+			o.lose(other, p, workload.Interrupted, "its instance has started anew")
 		}
 	}
 }
@@ -310,7 +311,11 @@
 		return
 	}
 	if w.synced {
-		o.log.Warn("worker lost", "worker", w.info.ID, "runs", len(w.runs), "err", err)
+		level := hclog.Warn
+		if w.cordoned && len(w.runs) == 0 {
+			level = hclog.Info // its instance was emptied for a move or an upkeep
+		}
+		o.log.Log(level, "worker lost", "worker", w.info.ID, "runs", len(w.runs), "err", err)
 		w.synced = false
 		o.recordLoss(w)
 	}
@@ -436,7 +441,12 @@
 			!p.stoppedAt.IsZero() && sent.After(p.stoppedAt.Add(o.cfg.Timing.StopTime)) ||
 			!p.confirmedAt.IsZero() && p.stoppedAt.IsZero() && sent.After(p.confirmedAt)
 		if absent && len(report.Ended) < maxEnds {
-			o.lose(w, p, "the worker does not list it")
+			// A run that began is listed until its end is acknowledged, which follows the record of the end.
+			ending := workload.NeverBegan
+			if !p.confirmedAt.IsZero() {
+				ending = workload.Interrupted
+			}
+			o.lose(w, p, ending, "the worker does not list it")
 		}
 	}
 }
@@ -453,7 +463,7 @@
 		return
 	}
 	for _, p := range w.placements() {
-		o.lose(w, p, "its lease has lapsed")
+		o.lose(w, p, workload.Interrupted, "its lease has lapsed")
 	}
 	if !w.present {
 		if w.session != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,80 +1,41 @@
-// Package settings reads the settings of an entry instance from JSON and checks them in full before anything starts.
+// Package settings reads an instance's own settings from JSON and checks them in full before anything starts. What the
+// platform sets is in a file of its own.
 package settings
 
 import (
 	"encoding/hex"
 	"encoding/json"
-	"net"
+	"maps"
 	"net/netip"
-	"net/url"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 
+	"github.com/pollenford/pollenford/internal/burn"
 	"github.com/pollenford/pollenford/internal/finding"
 )
 
-// Settings configures one entry instance.
+// Settings are an instance's own settings. The zero value is valid: the own API is switched off.
 type Settings struct {
-	// Name identifies the entry instance among its peers.
-	Name string `json:"name"`
-	// Zone is the availability zone of the instance.
-	Zone     string   `json:"zone"`
-	Listen   Listen   `json:"listen"`
-	Platform Platform `json:"platform"`
-	// Peers are inner-protocol addresses (IP:port) to ask for the state when the log is unavailable at start.
-	Peers []string `json:"peers,omitempty"`
-	// PeerSecret authenticates entry instances to each other; at least 16 characters.
-	PeerSecret string     `json:"peer_secret"`
-	Operators  []Operator `json:"operators"`
-	TLS        *TLS       `json:"tls,omitempty"`
-	Log        Log        `json:"log"`
-	Stop       Stop       `json:"stop,omitzero"`
-}
-
-// Stop configures a graceful shutdown.
-type Stop struct {
-	// GraceMS is how long in milliseconds a stopping instance still takes requests after readiness fails, so that the
-	// load balancer notices before connections are refused. Absent means DefaultGraceMS.
-	GraceMS *int64 `json:"grace_ms,omitempty"`
+	// API is where clients and operators use the own API; absent switches it off.
+	API *API `json:"api,omitempty"`
+	// Operators may use the administration API.
+	Operators []Operator `json:"operators,omitempty"`
+	// Objectives are service-level objectives by name.
+	Objectives map[string]burn.Definition `json:"objectives,omitempty"`
+	Log        Log                        `json:"log,omitzero"`
 }
 
-// Bounds of Stop.GraceMS.
-const (
-	// DefaultGraceMS covers two checks of a load balancer that asks every second.
-	DefaultGraceMS = 3000
-	maxGraceMS     = 60_000
-)
-
-// Grace returns the configured grace or the default.
-func (s Stop) Grace() time.Duration {
-	if s.GraceMS == nil {
-		return DefaultGraceMS * time.Millisecond
-	}
-	return time.Duration(*s.GraceMS) * time.Millisecond
-}
-
-// Listen holds the addresses (IP:port) that the instance listens on.
-type Listen struct {
-	// API serves callers and operators.
-	API string `json:"api"`
-	// Peer serves the inner protocol.
-	Peer string `json:"peer"`
-	// Advertise is the address that peers dial. Empty means the address of Peer.
-	Advertise string `json:"advertise,omitempty"`
-	// Metrics serves metrics for scraping. Empty switches it off.
-	Metrics string `json:"metrics,omitempty"`
-}
-
-// Platform tells where the platform's services are.
-type Platform struct {
-	// URL of the log service and the instance list, with an IP address as host.
-	URL string `json:"url"`
+// API tells where the own API is served.
+type API struct {
+	// Listen is IP:port.
+	Listen string `json:"listen"`
+	// TLS secures the API; absent serves it in the clear.
+	TLS *TLS `json:"tls,omitempty"`
 }
 
 // Operator may use the administration API.
@@ -84,7 +45,7 @@
 	TokenSHA256 string `json:"token_sha256"`
 }
 
-// TLS secures the API for callers and operators. The files are read again when they change.
+// TLS secures the API for clients and operators. The files are read again when they change.
 type TLS struct {
 	CertFile string `json:"cert_file"`
 	KeyFile  string `json:"key_file"`
@@ -94,15 +55,14 @@
 type Log struct {
 	// Level is one of trace, debug, info, warn and error. Empty means info.
 	Level string `json:"level,omitempty"`
-	// Format is text or json. Empty means text.
-	Format string `json:"format,omitempty"`
 }
 
-// minSecretBytes is the shortest accepted peer secret.
-const minSecretBytes = 16
-
-// Load reads and checks a settings file. A finding.List error names everything that is wrong.
+// Load reads and checks a settings file; no path gives the zero value. A finding.List error names everything that is
+// wrong.
 func Load(path string) (*Settings, error) {
+	if path == "" {
+		return &Settings{}, nil
+	}
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Annotate(err, "reading settings")
@@ -143,69 +103,34 @@
 // Check returns everything that is wrong with the values.
 func (s *Settings) Check() finding.List {
 	var out finding.List
-	if s.Name == "" {
-		out.Add("/name", "is required")
-	}
-	if s.Zone == "" {
-		out.Add("/zone", "is required")
-	}
-	checkAddress(&out, "/listen/api", s.Listen.API)
-	checkAddress(&out, "/listen/peer", s.Listen.Peer)
-	checkAdvertise(&out, s.Listen)
-	if s.Listen.Metrics != "" {
-		checkAddress(&out, "/listen/metrics", s.Listen.Metrics)
-	}
-	checkPlatform(&out, s.Platform)
-	for i, peer := range s.Peers {
-		checkAddress(&out, finding.Pointer("peers", strconv.Itoa(i)), peer)
-	}
-	if len(s.PeerSecret) < minSecretBytes {
-		out.Add("/peer_secret", "must have at least %d characters", minSecretBytes)
+	if s.API != nil {
+		checkAPI(&out, s.API)
 	}
 	checkOperators(&out, s.Operators)
-	checkTLS(&out, s.TLS)
-	checkLog(&out, s.Log)
-	if ms := s.Stop.GraceMS; ms != nil && (*ms < 0 || *ms > maxGraceMS) {
-		out.Add("/stop/grace_ms", "must be between 0 and %d", maxGraceMS)
+	checkObjectives(&out, s.Objectives)
+	if s.Log.Level != "" && hclog.LevelFromString(s.Log.Level) == hclog.NoLevel {
+		out.Add("/log/level", "must be trace, debug, info, warn or error")
 	}
 	return out
 }
 
-func checkAddress(out *finding.List, place, address string) {
-	if _, err := netip.ParseAddrPort(address); err != nil {
-		out.Add(place, "must be an IP address and port such as 127.0.0.1:7100")
+func checkAPI(out *finding.List, a *API) {
+	if _, err := netip.ParseAddrPort(a.Listen); err != nil {
+		out.Add("/api/listen", "must be an IP address and port such as 127.0.0.1:7100")
 	}
-}
-
-func checkAdvertise(out *finding.List, l Listen) {
-	if l.Advertise != "" {
-		checkAddress(out, "/listen/advertise", l.Advertise)
-		return
-	}
-	if a, err := netip.ParseAddrPort(l.Peer); err == nil && a.Addr().IsUnspecified() {
-		out.Add("/listen/advertise", "is required because /listen/peer names no single address")
+	if a.TLS != nil {
+		checkFile(out, "/api/tls/cert_file", a.TLS.CertFile)
+		checkFile(out, "/api/tls/key_file", a.TLS.KeyFile)
 	}
 }
 
-func checkPlatform(out *finding.List, p Platform) {
-	u, err := url.Parse(p.URL)
-	if err != nil || u.Scheme != "http" && u.Scheme != "https" {
-		out.Add("/platform/url", "must be an http or https URL")
-		return
-	}
-	host, _, err := net.SplitHostPort(u.Host)
-	if err != nil {
-		host = u.Host
-	}
-	if _, err := netip.ParseAddr(host); err != nil {
-		out.Add("/platform/url", "the host must be an IP address")
+func checkFile(out *finding.List, place, path string) {
+	if _, err := os.Stat(path); err != nil {
+		out.Add(place, "cannot be read: %v", err)
 	}
 }
 
 func checkOperators(out *finding.List, operators []Operator) {
-	if len(operators) == 0 {
-		out.Add("/operators", "at least one operator is required")
-	}
 	for i, op := range operators {
 		at := func(field string) string { return finding.Pointer("operators", strconv.Itoa(i), field) }
 		if op.Name == "" {
@@ -217,34 +142,32 @@
 	}
 }
 
-func checkTLS(out *finding.List, t *TLS) {
-	if t == nil {
-		return
-	}
-	checkFile(out, "/tls/cert_file", t.CertFile)
-	checkFile(out, "/tls/key_file", t.KeyFile)
-}
-
-func checkFile(out *finding.List, place, path string) {
-	if _, err := os.Stat(path); err != nil {
-		out.Add(place, "cannot be read: %v", err)
-	}
-}
+// maxWindowHours is a year: a longer budget would outlive every release.
+const maxWindowHours = 366 * 24
 
-func checkLog(out *finding.List, l Log) {
-	if l.Level != "" && hclog.LevelFromString(l.Level) == hclog.NoLevel {
-		out.Add("/log/level", "must be trace, debug, info, warn or error")
-	}
-	if l.Format != "" && l.Format != "text" && l.Format != "json" {
-		out.Add("/log/format", "must be text or json")
+func checkObjectives(out *finding.List, objectives map[string]burn.Definition) {
+	for _, name := range slices.Sorted(maps.Keys(objectives)) {
+		d := objectives[name]
+		at := func(field string) string { return finding.Pointer("objectives", name, field) }
+		if (d.Queue == "") == (d.Organisation == "") {
+			out.Add(finding.Pointer("objectives", name), "exactly one of queue and organisation must be set")
+		}
+		if d.Target <= 0 || d.Target >= 1 {
+			out.Add(at("target"), "must be between 0 and 1, both excluded")
+		}
+		if d.LatencyMS <= 0 {
+			out.Add(at("latency_ms"), "must be positive")
+		}
+		if d.WindowHours <= 0 || d.WindowHours > maxWindowHours {
+			out.Add(at("window_hours"), "must be between 1 and %d", maxWindowHours)
+		}
 	}
 }
 
-// Logger returns a logger for the settings that writes to standard error.
-func (l Log) Logger(name string) hclog.Logger {
-	level := hclog.Info
-	if l.Level != "" {
-		level = hclog.LevelFromString(l.Level)
+// LogLevel returns the level of the log.
+func (s *Settings) LogLevel() hclog.Level {
+	if s.Log.Level == "" {
+		return hclog.Info
 	}
-	return hclog.New(&hclog.LoggerOptions{Name: name, Level: level, JSONFormat: l.Format == "json"})
+	return hclog.LevelFromString(s.Log.Level)
 }
--- a/internal/settings/shape.go
+++ b/internal/settings/shape.go
@@ -27,6 +27,12 @@
 		checkObject(out, place, value, want)
 	case reflect.Slice:
 		checkArray(out, place, value, want)
+	case reflect.Map:
+		checkMap(out, place, value, want)
+	case reflect.Float64:
+		if _, ok := value.(float64); !ok {
+			out.Add(place, "must be a number")
+		}
 	case reflect.String:
 		if _, ok := value.(string); !ok {
 			out.Add(place, "must be a string")
@@ -69,6 +75,17 @@
 	}
 }
 
+func checkMap(out *finding.List, place string, value any, want reflect.Type) {
+	object, ok := value.(map[string]any)
+	if !ok {
+		out.Add(place, "must be an object")
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(object)) {
+		checkShape(out, place+finding.Pointer(name), object[name], want.Elem())
+	}
+}
+
 func jsonFields(t reflect.Type) map[string]reflect.Type {
 	fields := map[string]reflect.Type{}
 	for i := range t.NumField() {
--- a/internal/workers/workertest/fleet.go
+++ b/internal/workers/workertest/fleet.go
@@ -41,6 +41,8 @@
 	Incarnation int64
 	// WorkFor is how long a run takes; 0 until it is stopped.
 	WorkFor time.Duration
+	// Work, if not nil, tells from the specification what a run does. It is set before the first run.
+	Work func(spec string) Work
 
 	// The fields below are protected by fleet.mu.
 	born    time.Time
@@ -56,9 +58,18 @@
 	news    chan struct{} // closed when a run ends
 }
 
+// Work is what a run does.
+type Work struct {
+	For time.Duration // 0 until it is stopped
+	How workers.How
+	// Left is the state that the run saves at its end.
+	Left string
+}
+
 type run struct {
 	number int
 	ends   time.Time // zero for a run that lasts
+	work   Work
 }
 
 // Add puts a worker at an address.
@@ -166,7 +177,11 @@
 	delete(w.runs, task)
 	w.last++
 	w.highest[task] = max(w.highest[task], r.number)
-	w.ended = append(w.ended, workers.End{Sequence: w.last, Task: task, Run: r.number, How: how})
+	end := workers.End{Sequence: w.last, Task: task, Run: r.number, How: how}
+	if how == workers.Done {
+		end.Checkpoint = r.work.Left
+	}
+	w.ended = append(w.ended, end)
 	close(w.news)
 	w.news = make(chan struct{})
 }
@@ -179,7 +194,7 @@
 		case now.After(w.until):
 			w.end(task, r, workers.Lapsed)
 		case !r.ends.IsZero() && now.After(r.ends):
-			w.end(task, r, workers.Done)
+			w.end(task, r, r.work.How)
 		}
 	}
 }
@@ -239,9 +254,12 @@
 		return w.clock(), workers.ErrLate
 	}
 	w.extend(o.UntilMS)
-	r := &run{number: o.Run}
-	if w.WorkFor > 0 {
-		r.ends = time.Now().Add(w.WorkFor)
+	r := &run{number: o.Run, work: Work{For: w.WorkFor, How: workers.Done}}
+	if w.Work != nil {
+		r.work = w.Work(o.Spec)
+	}
+	if r.work.For > 0 {
+		r.ends = time.Now().Add(r.work.For)
 	}
 	w.runs[o.Task] = r
 	f.starts = append(f.starts, Start{Worker: w.ID, Task: o.Task, Run: o.Run, At: time.Now(), Checkpoint: o.Checkpoint, Ticket: o.Ticket})
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -38,6 +38,8 @@
 	MaxUnavailable int           `cbor:"14,keyasint,omitempty"`
 	Image          string        `cbor:"15,keyasint,omitempty"`
 	TailTarget     time.Duration `cbor:"16,keyasint,omitempty"`
+	// Once tells that a task must not run again after a run that may have begun: its job fails instead.
+	Once bool `cbor:"17,keyasint,omitempty"`
 }
 
 // Counted returns what a task takes of a worker's capacity.
@@ -62,6 +64,10 @@
 	PeriodMS   int64 `cbor:"8,keyasint,omitempty"`
 	// ReceivedMS is the Unix time in milliseconds at which an entry received the job.
 	ReceivedMS int64 `cbor:"9,keyasint"`
+	// Fingerprint tells jobs with the same ID and another content apart.
+	Fingerprint string `cbor:"10,keyasint,omitempty"`
+	// KeepsAnswer tells that the state which the last run saved at its end is the answer to the client.
+	KeepsAnswer bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Lasts reports whether a step of the job runs until it is cancelled.
@@ -81,13 +87,14 @@
 const (
 	// MaxTasks bounds the tasks of one occurrence, so that its progress fits one record of the store.
 	MaxTasks = 4000
-	maxSpec  = 4000 // bytes, as published for clients
+	// MaxSpec bounds the specification of a job in bytes, as published for clients.
+	MaxSpec = 4000
 )
 
 // Check returns why the job cannot be accepted, or nil.
 func (j *Job) Check() error {
-	if len(j.Spec) > maxSpec {
-		return errors.NotValidf("spec of %d bytes (at most %d)", len(j.Spec), maxSpec)
+	if len(j.Spec) > MaxSpec {
+		return errors.NotValidf("spec of %d bytes (at most %d)", len(j.Spec), MaxSpec)
 	}
 	if len(j.Steps) == 0 {
 		return errors.NotValidf("job without steps")
@@ -210,11 +217,17 @@
 	// Organisation is kept for the time after the job itself is forgotten.
 	Organisation string `cbor:"6,keyasint,omitempty"`
 	Queue        string `cbor:"7,keyasint,omitempty"`
+	// Fingerprint is that of the job.
+	Fingerprint string `cbor:"8,keyasint,omitempty"`
+	// Answer is what the last run left, if the job keeps it.
+	Answer string `cbor:"9,keyasint,omitempty"`
+	// Interrupted tells that the job failed because a run that must not be repeated may have been cut off.
+	Interrupted bool `cbor:"10,keyasint,omitempty"`
 }
 
 // NewProgress returns the progress of a job that was just accepted.
 func NewProgress(j *Job) *Progress {
-	return &Progress{Organisation: j.Organisation, Queue: j.Queue}
+	return &Progress{Organisation: j.Organisation, Queue: j.Queue, Fingerprint: j.Fingerprint}
 }
 
 // Index rebuilds what is derived, after decoding.
@@ -320,6 +333,17 @@
 	return nil
 }
 
+// Ending tells how a run came to its end.
+type Ending uint8
+
+// The endings of runs.
+const (
+	Succeeded   Ending = iota
+	Errored            // the run reported a failure
+	Interrupted        // it was stopped, its lease expired or its worker was lost
+	NeverBegan         // it is certain that it did not run
+)
+
 // Outcome tells what the end of a run led to.
 type Outcome uint8
 
@@ -333,7 +357,7 @@
 )
 
 // End records the end of a run. maxFailures is how many runs of a task may fail before its job fails.
-func (p *Progress) End(j *Job, r Ref, run int, done, failed bool, checkpoint string, maxFailures int) Outcome {
+func (p *Progress) End(j *Job, r Ref, run int, ending Ending, checkpoint string, maxFailures int) Outcome {
 	t := p.Task(r)
 	if t == nil || t.Phase != Placed || t.Run != run {
 		return Ignored
@@ -350,20 +374,30 @@
 	switch {
 	case step.LongRunning:
 		return Requeued
-	case done:
+	case ending == Succeeded:
+		if j.KeepsAnswer {
+			p.Answer = checkpoint
+		}
 		p.finish(j, r)
 		return p.completeIfDone(j)
-	case failed:
+	case step.Once && ending != NeverBegan:
+		p.Interrupted = ending == Interrupted
+		return p.fail()
+	case ending == Errored:
 		t.Failures++
 		if t.Failures >= maxFailures {
-			p.State = Failed
-			p.prune()
-			return Ended
+			return p.fail()
 		}
 	}
 	return Requeued
 }
 
+func (p *Progress) fail() Outcome {
+	p.State = Failed
+	p.prune()
+	return Ended
+}
+
 func (p *Progress) finish(j *Job, r Ref) {
 	o := p.Occurrence(r.Occurrence)
 	if !j.Steps[r.Step].Gang {
