Divide a full pool by the organisations' shares

Cause: the job service ordered work by deadlines alone. An organisation that filled a pool for long pushed the others out, whatever their weights.

Change: schedule.Shares (weighted max-min over what is used and asked for) divides a pool that is asked for more than it has; late work is placed within the shares first, what some leave of theirs goes to the others. Work that can still meet its objective goes by its deadline as before.

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -235,6 +235,34 @@
 	}
 }
 
+// Guards shares in a pool that stays full: an organisation with three times the weight gets three times the work done,
+// although the other one came first with as much.
+func TestFullPoolIsDividedByShares(t *testing.T) {
+	w := newWorld(t)
+	w.catalog.Store(catalog.New(1,
+		[]*catalog.Queue{{Name: "queue", Pool: testPool, MaxAttempts: 2}}, []*catalog.Pool{{Name: testPool}},
+		[]*catalog.Organisation{{Name: "small", Weight: 1}, {Name: "big", Weight: 3}}, catalog.HTTPLimits{}))
+	w.worker("w1", 40*time.Millisecond) // four tasks at a time
+	o := w.owner(true)
+	for _, org := range []string{"small", "big"} {
+		for i := range 4 {
+			j := newJob(fmt.Sprint(org, i), 100)
+			j.Organisation = org
+			w.submit(o, j)
+		}
+	}
+	began := len(w.fleet.Starts())
+	const some = 120
+	w.await("the pool has worked for a while", func() bool { return len(w.fleet.Starts()) > began+some })
+	count := map[string]int{}
+	for _, s := range w.fleet.Starts()[began:] {
+		count[s.Task[:3]]++
+	}
+	if ratio := float64(count["big"]) / float64(count["sma"]); ratio < 2.5 || ratio > 3.5 {
+		t.Errorf("runs %v, want three to one", count)
+	}
+}
+
 // Guards the organisation's limit, which counts everything that may run.
 func TestOrganisationStaysWithinItsLimit(t *testing.T) {
 	w := newWorld(t)
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -62,6 +62,10 @@
 	occurrence *workload.Occurrence
 	step       int
 	demand     schedule.Demand
+	// The fields below are set for a step whose queue is configured. org is nil on an open queue.
+	queue *catalog.Queue
+	view  *poolView
+	org   *catalog.Organisation
 }
 
 // place gives waiting tasks to workers.
@@ -95,11 +99,31 @@
 			view = o.viewPool(q.Pool, now)
 			pools[q.Pool] = view
 		}
-		var allowed *tickets
-		if q.Advised {
-			allowed = o.advised(stepOn{r.job, r.occurrence.Number, r.step}, view, now)
+		r.queue, r.view, r.org = q, view, c.Organisations[r.job.spec.Organisation]
+		view.asked[r.job.spec.Organisation] += o.allowed(r) * r.job.spec.Steps[r.step].Counted().CPU
+	}
+	for _, view := range pools {
+		view.divide(c)
+	}
+	// Deadlines decide as long as they can be met. Late work in a full pool is divided by shares; what some organisations
+	// leave of theirs goes to the others.
+	var late []*ready
+	for i := range list {
+		r := &list[i]
+		if r.view == nil {
+			continue
+		}
+		byShares := r.view.shares != nil && r.demand.IsLate(now)
+		if byShares {
+			late = append(late, r)
 		}
-		o.waiting[q.Pool] += o.placeStep(r, view, c.Organisations[r.job.spec.Organisation], allowed)
+		waiting := o.placeStep(r, byShares, now)
+		if !byShares {
+			o.waiting[r.queue.Pool] += waiting
+		}
+	}
+	for _, r := range late {
+		o.waiting[r.queue.Pool] += o.placeStep(r, false, now)
 	}
 }
 
@@ -113,7 +137,7 @@
 				}
 				demand := j.plan.demand
 				demand.Left = j.plan.from[step]
-				list = append(list, ready{j, occurrence, step, demand})
+				list = append(list, ready{job: j, occurrence: occurrence, step: step, demand: demand})
 			}
 		}
 	}
@@ -135,14 +159,45 @@
 	candidates []schedule.Candidate
 	// tooLarge is the smallest amount that did not fit anywhere, to skip its like.
 	tooLarge *catalog.Resources
+	// Amounts by organisation, in thousandths of a core: what it uses, what it waits for, and, in a full pool, its share.
+	used, asked, shares map[string]int64
+	capacity            int64
+}
+
+// divide sets the shares of organisations if they ask for more than there is.
+func (v *poolView) divide(c *catalog.Catalog) {
+	total := int64(0)
+	var claims []schedule.Claim
+	for name, asked := range v.asked {
+		claim := schedule.Claim{Organisation: name, Asked: asked + v.used[name]}
+		if org := c.Organisations[name]; org != nil {
+			claim.Weight = org.Weight
+		}
+		total += asked
+		claims = append(claims, claim)
+	}
+	capacity := v.capacity
+	for name, used := range v.used {
+		total += used
+		if _, waits := v.asked[name]; !waits {
+			capacity -= used // it keeps what it has
+		}
+	}
+	if len(claims) > 1 && total > v.capacity {
+		v.shares = schedule.Shares(capacity, claims)
+	}
 }
 
 func (o *Owner) viewPool(pool string, now time.Time) *poolView {
-	view := &poolView{}
+	view := &poolView{used: map[string]int64{}, asked: map[string]int64{}}
 	for _, w := range o.workers {
 		if w.info.Pool != pool || !w.usable(now) {
 			continue
 		}
+		view.capacity += w.info.Capacity.CPU
+		for name, cpu := range w.used.organisations {
+			view.used[name] += cpu
+		}
 		view.workers = append(view.workers, w)
 	}
 	slices.SortFunc(view.workers, func(a, b *worker) int {
@@ -166,21 +221,26 @@
 }
 
 // placeStep gives the waiting tasks of a step to the workers of its pool and returns the processors that those without
-// room ask for. The members of a gang go together or not at all. On an advised queue only workers with a ticket count.
-func (o *Owner) placeStep(r *ready, view *poolView, org *catalog.Organisation, advised *tickets) int64 {
-	step := &r.job.spec.Steps[r.step]
+// room ask for. The members of a gang go together or not at all. On an advised queue only workers with a ticket count. byShares
+// keeps the organisation within its share of the pool.
+func (o *Owner) placeStep(r *ready, byShares bool, now time.Time) int64 {
+	step, view, org := &r.job.spec.Steps[r.step], r.view, r.org
 	need := step.Counted()
 	if view.tooLarge != nil && view.tooLarge.Within(need) {
-		return need.CPU * o.allowed(r, org)
+		return need.CPU * o.allowed(r)
 	}
 	key := stepOn{r.job, r.occurrence.Number, r.step}
-	now := time.Now()
+	var advised *tickets
+	if r.queue.Advised {
+		advised = o.advised(key, view, now)
+	}
 	for i, w := range view.workers {
 		view.candidates[i].OnStep = w.used.steps[key]
 		view.candidates[i].HasLabel = step.Label == "" || w.info.HasLabel(step.Label)
 		view.candidates[i].Barred = advised != nil && advised.valid(w, now) == ""
 	}
-	usage := o.usage[r.job.spec.Organisation]
+	name := r.job.spec.Organisation
+	usage := o.usage[name]
 	var chosen []int
 	var waiting []int
 	for index := range r.occurrence.Tasks[r.step] {
@@ -191,6 +251,9 @@
 		if org != nil && !org.LimitAllows(usage) {
 			break
 		}
+		if byShares && view.used[name]+need.CPU > view.shares[name] {
+			break
+		}
 		best := schedule.Choose(step, view.candidates)
 		if best < 0 {
 			if step.Label == "" && step.MaxPerWorker == 0 && advised == nil {
@@ -200,13 +263,15 @@
 		}
 		view.candidates[best].Free = view.candidates[best].Free.Sub(need)
 		view.candidates[best].OnStep++
+		view.used[name] += need.CPU
 		chosen, waiting = append(chosen, best), append(waiting, index)
 	}
 	if step.Gang && len(chosen) < step.Count {
 		for _, i := range chosen {
 			view.candidates[i].Free = view.candidates[i].Free.Add(need)
+			view.used[name] -= need.CPU
 		}
-		return need.CPU * o.allowed(r, org)
+		return need.CPU * o.allowed(r)
 	}
 	run := 0
 	for i, index := range waiting {
@@ -224,11 +289,11 @@
 		o.log.Info("tasks placed", "job", r.job.spec.ID, "occurrence", r.occurrence.Number, "step", r.step, "tasks", len(waiting),
 			"of", step.Count, "config", o.cfg.Catalog().Version, "age_ms", time.Now().UnixMilli()-r.job.spec.ReceivedMS)
 	}
-	return need.CPU * o.allowed(r, org)
+	return need.CPU * o.allowed(r)
 }
 
 // allowed returns how many waiting tasks of a step its organisation may have running beside what runs now.
-func (o *Owner) allowed(r *ready, org *catalog.Organisation) int64 {
+func (o *Owner) allowed(r *ready) int64 {
 	n := int64(0)
 	usage := o.usage[r.job.spec.Organisation]
 	for i := range r.occurrence.Tasks[r.step] {
@@ -236,7 +301,7 @@
 			continue
 		}
 		usage = usage.Add(r.job.spec.Steps[r.step].Need)
-		if org != nil && !org.LimitAllows(usage) {
+		if r.org != nil && !r.org.LimitAllows(usage) {
 			break
 		}
 		n++
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -16,6 +16,8 @@
 type usage struct {
 	resources catalog.Resources
 	steps     map[stepOn]int
+	// organisations is what each uses of the worker, in thousandths of a core.
+	organisations map[string]int64
 }
 
 // stepOn names an occurrence of a step of a job.
@@ -35,6 +37,10 @@
 	w.used.steps[stepOn{p.job, p.ref.Occurrence, p.ref.Step}]++
 	org := p.job.spec.Organisation
 	o.usage[org] = o.usage[org].Add(step.Need)
+	if w.used.organisations == nil {
+		w.used.organisations = map[string]int64{}
+	}
+	w.used.organisations[org] += step.Counted().CPU
 }
 
 // release is the reverse of hold.
@@ -49,6 +55,9 @@
 	}
 	org := p.job.spec.Organisation
 	o.usage[org] = o.usage[org].Sub(step.Need)
+	if w.used.organisations[org] -= step.Counted().CPU; w.used.organisations[org] == 0 {
+		delete(w.used.organisations, org)
+	}
 	o.replan = true
 }
 
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -56,11 +56,17 @@
 	case !end.After(d.Full):
 		return 1
 	case !end.After(d.Late):
-		return 2
+		return latePart
 	}
-	return 3
+	return latePart + 1
 }
 
+// latePart is the rank of what can no longer earn everything.
+const latePart = 2
+
+// IsLate reports whether the work can no longer meet its objective in full.
+func (d *Demand) IsLate(now time.Time) bool { return d.rank(now) >= latePart }
+
 // Before reports whether a goes before b. Within a rank the urgent queue goes first, then the job with the least time to
 // spare, so that a peak of short jobs does not push those that have waited over their objective.
 func Before(a, b *Demand, now time.Time) bool {
