Preempt runs that save their progress for urgent work

Cause: urgent work that met a pool full of long runs waited for their ends, although some of these resume from a checkpoint.

Change: schedule.Preempt chooses less urgent runs that save their progress and have run for two seconds, the latest first; the owner stops them for urgent tasks that can still meet their objective. What must not run again, members of gangs and lasting tasks are left alone.

TestSickWorkerComesLast guards ejection, which had no test on the job service.

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/pollenford/pollenford/internal/jobs"
 	"github.com/pollenford/pollenford/internal/topic/topictest"
 	"github.com/pollenford/pollenford/internal/workers"
+	"github.com/pollenford/pollenford/internal/workers/workertest"
 	"github.com/pollenford/pollenford/internal/workload"
 )
 
@@ -328,6 +330,53 @@
 	}
 }
 
+// Guards a pool against a worker that fails everything: after two failures in a row it gets no work while sound ones have
+// room, and it is tried again later.
+func TestSickWorkerComesLast(t *testing.T) {
+	w := newWorld(t)
+	sick := w.worker("w1", 0)
+	w.catalog.Store(catalog.New(1, []*catalog.Queue{{Name: "queue", Pool: testPool, MaxAttempts: 4}}, []*catalog.Pool{{Name: testPool}}, nil, catalog.HTTPLimits{}))
+	var healed atomic.Bool
+	sick.Work = func(string) workertest.Work {
+		work := workertest.Work{For: 5 * time.Millisecond, How: workers.Failed}
+		if healed.Load() {
+			work.How = workers.Done
+		}
+		return work
+	}
+	w.worker("w2", 5*time.Millisecond)
+	o := w.owner(true)
+	submit := func(n int) {
+		for i := range 10 {
+			id := fmt.Sprintf("job-%d-%d", n, i)
+			w.submit(o, newJob(id, 1))
+			w.awaitState(o, id, workload.Completed)
+		}
+	}
+	onSick := func() int {
+		n := 0
+		for _, s := range w.fleet.Starts() {
+			if s.Worker == "w1" {
+				n++
+			}
+		}
+		return n
+	}
+	submit(1)
+	if n := onSick(); n > doubtAfter {
+		t.Errorf("%d runs on the sick worker, want at most %d", n, doubtAfter)
+	}
+	healed.Store(true)
+	time.Sleep(doubtFor + 100*time.Millisecond)
+	before := onSick()
+	for n := 2; n < 20 && onSick() == before; n++ {
+		submit(n)
+	}
+	if onSick() == before {
+		t.Error("the healed worker gets no work")
+	}
+}
+
 // Guards the owner against a job that the store can never take: its append would hold up every decision behind it.
 func TestJobTooLargeForTheStoreIsRejected(t *testing.T) {
 	w := newWorld(t)
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -125,6 +125,7 @@
 	for _, r := range late {
 		o.waiting[r.queue.Pool] += o.placeStep(r, false, now)
 	}
+	o.preempt(list, now)
 }
 
 func (o *Owner) readySteps() []ready {
--- /dev/null
+++ b/internal/owner/preempt_test.go
@@ -0,0 +1,52 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pollenford/pollenford/internal/catalog"
+	"github.com/pollenford/pollenford/internal/workers"
+	"github.com/pollenford/pollenford/internal/workers/workertest"
+	"github.com/pollenford/pollenford/internal/workload"
+)
+
+// Guards priority that was paid for: urgent work that meets a pool full of long runs starts at once, the long run goes on
+// from its checkpoint afterwards, and work that does not save its progress, or must not run again, is left alone.
+func TestUrgentWorkPreemptsWhatSavesProgress(t *testing.T) {
+	w := newWorld(t)
+	w.catalog.Store(catalog.New(1, []*catalog.Queue{
+		{Name: "queue", Pool: testPool, Urgency: 1, MaxAttempts: 2, SlackFactor: 2, TargetLatency: time.Hour},
+		{Name: "urgent", Pool: testPool, MaxAttempts: 2, SlackFactor: 2, TargetLatency: time.Minute},
+	}, []*catalog.Pool{{Name: testPool}}, []*catalog.Organisation{{Name: "org"}}, catalog.HTTPLimits{}))
+	worker := w.worker("w1", 0)
+	worker.Work = func(spec string) workertest.Work {
+		work := workertest.Work{How: workers.Done, Left: "half"}
+		if spec == "spec of urgent" {
+			work.For = 200 * time.Millisecond
+		}
+		return work
+	}
+	o := w.owner(true)
+	for _, id := range []string{"saves", "plain", "once"} {
+		j := newJob(id, 1)
+		j.Steps[0].SavesProgress, j.Steps[0].Once = id != "plain", id == "once"
+		w.submit(o, j)
+	}
+	big := newJob("wide", 1) // the pool is full
+	w.submit(o, big)
+	w.await("the pool is full", func() bool { return len(worker.Running()) == 4 })
+	time.Sleep(3 * time.Second) // longer than a run is left alone
+	urgent := newJob("urgent", 1)
+	urgent.Queue = "urgent"
+	w.submit(o, urgent)
+	w.awaitState(o, "urgent", workload.Completed)
+	w.await("the long run goes on", func() bool { return len(w.startsOf("saves.0.0.0")) == 2 })
+	if again := w.startsOf("saves.0.0.0")[1]; again.Checkpoint != "half" {
+		t.Errorf("resumed from %q", again.Checkpoint)
+	}
+	for _, task := range []string{"plain.0.0.0", "once.0.0.0", "wide.0.0.0"} {
+		if n := len(w.startsOf(task)); n != 1 {
+			t.Errorf("%s: %d runs, want 1", task, n)
+		}
+	}
+}
--- a/internal/workers/workertest/fleet.go
+++ b/internal/workers/workertest/fleet.go
@@ -178,7 +178,7 @@
 	w.last++
 	w.highest[task] = max(w.highest[task], r.number)
 	end := workers.End{Sequence: w.last, Task: task, Run: r.number, How: how}
-	if how == workers.Done {
+	if how == workers.Done || how == workers.Stopped {
 		end.Checkpoint = r.work.Left
 	}
 	w.ended = append(w.ended, end)
