--- a/scenarios/stream_test.go
+++ b/scenarios/stream_test.go
@@ -4,24 +4,16 @@
 	"fmt"
 	"io"
 	"net/http"
-	"regexp"
 	"strconv"
 	"strings"
 	"sync"
 
-	"github.com/juju/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
 func init() {
 	commands["stream"] = cmdStream
 	commands["endstream"] = cmdEndStream
-	commandChecks["shows"] = checkShows
-	commands["shows"] = func(ts *testscript.TestScript, neg bool, args []string) {
-		if err := checkShows(ts, args); (err == nil) == neg {
-			ts.Fatalf("shows %v: %v", args, err)
-		}
-	}
 }
 
 // background is a task that a scenario starts and asks later.
@@ -123,33 +115,3 @@
 		ts.Fatalf("%d requests answered, want at least %d; %d not answered: %q", b.good, least, len(b.bad), b.bad)
 	}
 }
-
-// checkShows sends a GET request as the operator and matches the answer with a regular expression: shows REGEXP URL.
-func checkShows(_ *testscript.TestScript, args []string) error {
-	data, err := adminGet(args[1])
-	if err != nil {
-		return err
-	}
-	matched, err := regexp.Match(args[0], data)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	if !matched {
-		return errors.Errorf("%q does not match %s", args[0], data)
-	}
-	return nil
-}
-
-func adminGet(url string) ([]byte, error) {
-	req, err := http.NewRequest(http.MethodGet, url, nil)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	req.Header.Set("Authorization", "Bearer operator-token")
-	res, err := patient.Do(req)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	defer res.Body.Close()
-	return io.ReadAll(res.Body)
-}
