Fetch instances for the work that arrives, before its tasks wait

Pattern: each queue in turn asks for five times its mean for some seconds.

Change: pool.Rate measures the work that arrives over a second; by Little's law that is the processors it keeps busy. A pool fetches up to 0.8 of it, and keeps instances that it will need.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -19,6 +19,7 @@
 	"github.com/pollenford/pollenford/internal/instances"
 	"github.com/pollenford/pollenford/internal/jobs"
 	"github.com/pollenford/pollenford/internal/leader"
+	"github.com/pollenford/pollenford/internal/pool"
 	"github.com/pollenford/pollenford/internal/topic"
 	"github.com/pollenford/pollenford/internal/wait"
 	"github.com/pollenford/pollenford/internal/workers"
@@ -105,6 +106,8 @@
 	fleet   fleetState
 	// waiting is what tasks that found no room ask of each pool, in thousandths of a core.
 	waiting map[string]int64
+	// arriving is the rate of work for each pool.
+	arriving map[string]*pool.Rate
 	// evicted counts, for each pool, lasting tasks of a step that are to leave their worker and have nowhere to go.
 	evicted map[string]int
 	tickets map[stepOn]*tickets
@@ -145,7 +148,7 @@
 		cfg: cfg, term: term, log: cfg.Log.With("fence", term.Fence), events: make(chan func(), eventQueue),
 		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{},
 		usage: map[string]catalog.Resources{}, began: time.Now(), seen: map[string]int64{}, metrics: newMetrics(cfg.Scope),
-		tickets: map[stepOn]*tickets{},
+		tickets: map[stepOn]*tickets{}, arriving: map[string]*pool.Rate{},
 	}
 	o.ctx, o.cancel = context.WithCancelCause(ctx)
 	o.fleet.init()
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -21,6 +21,9 @@
 	states := map[string]*pool.State{}
 	for _, p := range o.cfg.Catalog().Pools {
 		states[p.Name] = &pool.State{Name: p.Name, Standby: p.Standby, Waiting: o.waiting[p.Name], Hosts: o.hostsNeeded(p.Name)}
+		if rate := o.arriving[p.Name]; rate != nil {
+			states[p.Name].Expected = rate.CPU(now)
+		}
 	}
 	for _, w := range o.workers {
 		if s := states[w.info.Pool]; s != nil {
@@ -65,6 +68,23 @@
 	}
 }
 
+// arrives notes the work of a job that was accepted.
+func (o *Owner) arrives(spec *workload.Job, now time.Time) {
+	q := o.cfg.Catalog().Queues[spec.Queue]
+	if q == nil || spec.Lasts() || spec.Scheduled() {
+		return
+	}
+	work := int64(0)
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		work += int64(s.Count) * s.Counted().CPU * s.Estimate.Milliseconds()
+	}
+	if o.arriving[q.Pool] == nil {
+		o.arriving[q.Pool] = &pool.Rate{}
+	}
+	o.arriving[q.Pool].Add(work, now)
+}
+
 // arrived reports whether a moved instance can be counted in its pool again, or is overdue.
 func (o *Owner) arrived(inst *instance, now time.Time) bool {
 	if inst.ordered {
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -68,6 +68,7 @@
 		o.jobs[spec.ID] = j
 		o.active[spec.ID] = j
 		o.prepare(j)
+		o.arrives(spec, time.Now())
 		j.progress.Advance(spec, time.Now().UnixMilli())
 		o.changed(j)
 		o.replan = true
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -19,6 +19,8 @@
 	// SelfRelief is the share of the processors in use that a pool is expected to free before a fetched instance has
 	// arrived.
 	SelfRelief float64
+	// Forecast is the share of the arriving work that a pool fetches instances for before its tasks wait.
+	Forecast float64
 }
 
 // DefaultPolicy follows from the prices of the users' deployments: a move costs as much as 1.1 s of an instance in a
@@ -26,7 +28,7 @@
 // two seconds frees part of what is in use; and from the first seconds of a turn, whose tasks the reserve starts
 // until instances have come.
 func DefaultPolicy() Policy {
-	return Policy{IdleFor: time.Second, Reserve: 32_000, SelfRelief: 0.2}
+	return Policy{IdleFor: time.Second, Reserve: 32_000, SelfRelief: 0.2, Forecast: 0.8}
 }
 
 // Instance is an instance that can be moved: up, empty and not about to be maintained.
@@ -47,6 +49,8 @@
 	// Coming is the capacity of instances on their way into the pool, Arriving their number.
 	Coming   int64
 	Arriving int
+	// Expected is the processors that arriving work keeps busy.
+	Expected int64
 	// Hosts is how many further instances lasting tasks need, whatever else ends.
 	Hosts int
 	Empty []Instance
@@ -57,13 +61,15 @@
 	if s.Standby {
 		return 0
 	}
-	short := s.Waiting - int64(p.SelfRelief*float64(s.Used)) - s.Coming
+	short := max(s.Waiting-int64(p.SelfRelief*float64(s.Used)), s.expected(p)-s.Used-s.Free) - s.Coming
 	if s.Hosts > s.Arriving {
 		short = max(short, 1)
 	}
 	return short
 }
 
+func (s *State) expected(p Policy) int64 { return int64(p.Forecast * float64(s.Expected)) }
+
 // Move sends an instance to another pool.
 type Move struct{ Instance, From, To string }
 
@@ -111,7 +117,8 @@
 
 // spares reports whether the pool can do without an instance.
 func (s *State) spares(inst Instance, policy Policy) bool {
-	return s.Waiting == 0 && s.Hosts == 0 && inst.Idle >= policy.IdleFor && s.Free-inst.CPU >= policy.Reserve
+	return s.Waiting == 0 && s.Hosts == 0 && inst.Idle >= policy.IdleFor && s.Free-inst.CPU >= policy.Reserve &&
+		s.Used+s.Free-inst.CPU >= s.expected(policy)
 }
 
 // release sends empty instances to a standby pool, if there is one.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -12,7 +12,7 @@
 // for a while, each at most once and none that the pool needs.
 func TestPlan(t *testing.T) {
 	const idle = 5 * time.Second
-	policy := Policy{IdleFor: time.Second, Reserve: 16_000, SelfRelief: 0.5}
+	policy := Policy{IdleFor: time.Second, Reserve: 16_000, SelfRelief: 0.5, Forecast: 0.8}
 	standby := func(instances ...Instance) State { return State{Name: "standby", Standby: true, Empty: instances} }
 	for name, c := range map[string]struct {
 		pools []State
@@ -53,6 +53,16 @@
 		"lasting tasks without a host: one is on its way": {
 			[]State{{Name: "a", Hosts: 1, Arriving: 1, Coming: 16_000}, standby(empty("s1", 0))}, nil,
 		},
+		"begin of a turn: fetches before tasks wait": {
+			[]State{{Name: "a", Used: 20_000, Free: 10_000, Expected: 75_000}, standby(empty("s1", 0), empty("s2", 0), empty("s3", 0))},
+			[]Move{{"s1", "standby", "a"}, {"s2", "standby", "a"}},
+		},
+		"begin of a turn: enough is on its way": {
+			[]State{{Name: "a", Used: 20_000, Free: 10_000, Coming: 32_000, Expected: 75_000}, standby(empty("s1", 0))}, nil,
+		},
+		"turn: what arrives needs what is empty": {
+			[]State{{Name: "a", Used: 20_000, Free: 50_000, Expected: 80_000, Empty: []Instance{empty("a1", idle)}}, standby()}, nil,
+		},
 		"an instance of another kind stays": {
 			[]State{{Name: "a", Waiting: 10_000}, standby(Instance{ID: "s1", CPU: 16_000, Refused: []string{"a"}})}, nil,
 		},
--- /dev/null
+++ b/internal/pool/rate_test.go
@@ -0,0 +1,38 @@
+package pool
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards the forecast of a turn: five times the work is seen within a second, its end as well, and a clock that jumps
+// forward or back leaves nothing behind.
+func TestRateFollowsATurn(t *testing.T) {
+	var r Rate
+	now := time.UnixMilli(1_000_000)
+	arrive := func(seconds float64, cpu int64) {
+		for range int(seconds * 100) { // one arrival every 10 ms
+			now = now.Add(10 * time.Millisecond)
+			r.Add(cpu*10, now)
+		}
+	}
+	near := func(what string, want int64) {
+		t.Helper()
+		if got := r.CPU(now); got < want*85/100 || got > want*115/100 {
+			t.Errorf("%s: %d, want about %d", what, got, want)
+		}
+	}
+	arrive(3, 10_000)
+	near("steady", 10_000)
+	arrive(1, 50_000)
+	near("a second into the turn", 50_000)
+	arrive(1, 500)
+	near("a second after it", 500)
+	now = now.Add(time.Hour)
+	if got := r.CPU(now); got != 0 {
+		t.Errorf("after an hour: %d", got)
+	}
+	now = now.Add(-30 * time.Minute)
+	arrive(3, 10_000)
+	near("after a jump back", 10_000)
+}
