Prefer the strongest instance as the owner

Change: weaker instances let the others go first, up to 1.2 s at the first start and 120 ms after a loss, by the processor that the platform's settings allow.

TestStrongestInstanceBecomesTheOwner.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -95,7 +95,7 @@
 			MaxHold: p.Timing.MaxHold, StopTime: p.Timing.StopTime, Early: p.Timing.Early, Status: p.Timing.Status,
 			Move: p.Timing.Move, Upkeep: p.Timing.Upkeep,
 		},
-		Grace: p.Timing.Grace, MaxRecordBytes: p.MaxRecordBytes, MaxCallBytes: p.MaxCallBytes, MemoryMB: p.MemoryMB, Log: log,
+		Grace: p.Timing.Grace, MaxRecordBytes: p.MaxRecordBytes, MaxCallBytes: p.MaxCallBytes, MemoryMB: p.MemoryMB, Cores: p.Cores, Log: log,
 		Metrics: m.Handler, Scope: m.Scope, LogLinesDropped: linesDropped,
 		Front: func(e *entry.Entry) http.Handler {
 			return &platform.Front{Entry: e, Log: log.Named("front"), Scope: m.Scope, Observe: observe}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -26,6 +26,11 @@
 	retryEvery  = 100 * time.Millisecond
 	// followWait bounds a read for renewals, and with it how late an expiry is noticed.
 	followWait = 500 * time.Millisecond
+	// firstDelay is how long the weakest instance waits for others when there has never been an owner: instances start
+	// within 0.3 s of each other and read a configuration first, and work arrives several seconds later.
+	firstDelay = 1200 * time.Millisecond
+	// nextDelay is the same when an owner has gone, a small part of the time in which that is noticed.
+	nextDelay = 120 * time.Millisecond
 )
 
 const (
@@ -85,6 +90,9 @@
 	Serve func(ctx context.Context, term *Term) error
 	// Eligible reports whether this instance may become the owner now.
 	Eligible func() bool
+	// Weakness tells how much better suited others may be, from 0 for the strongest instance to 1. Weaker ones let the
+	// others go first.
+	Weakness float64
 
 	mu      sync.Mutex
 	current Owner         // protected by mu
@@ -176,7 +184,7 @@
 func (e *Elector) Run(ctx context.Context) {
 	e.end = -1
 	for ctx.Err() == nil {
-		if err := e.follow(ctx); err != nil {
+		if err := e.follow(ctx, e.wait()); err != nil {
 			if ctx.Err() != nil {
 				return
 			}
@@ -190,15 +198,39 @@
 			wait.For(ctx, retryEvery)
 			continue
 		}
-		if !e.isLeaving() && e.vacant() && e.Eligible() {
+		if e.mayCampaign() && e.outwait(ctx) {
 			e.campaign(ctx)
 		}
 	}
 }
 
-// follow makes one read of the owner's records.
-func (e *Elector) follow(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, followWait+callTimeout)
+func (e *Elector) mayCampaign() bool { return !e.isLeaving() && e.vacant() && e.Eligible() }
+
+// outwait lets stronger instances go first and reports whether none has.
+func (e *Elector) outwait(ctx context.Context) bool {
+	longest := nextDelay
+	if _, known := e.last(); !known {
+		longest = firstDelay
+	}
+	until := time.Now().Add(time.Duration(e.Weakness * float64(longest)))
+	for left := time.Until(until); left > 0; left = time.Until(until) {
+		if e.follow(ctx, left) != nil || !e.mayCampaign() {
+			return false
+		}
+	}
+	return true
+}
+
+// last returns the newest owner's record, also of one that is gone, and whether there was one.
+func (e *Elector) last() (Owner, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current, e.known
+}
+
+// follow makes one read of the owner's records, which waits for news for some time.
+func (e *Elector) follow(ctx context.Context, wait time.Duration) error {
+	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	var records []topic.Record
 	if e.end < 0 {
@@ -208,7 +240,7 @@
 		}
 		records, e.end = all, end
 	} else {
-		tail, err := e.Store.Read(callCtx, ownerTopic, e.end, e.wait())
+		tail, err := e.Store.Read(callCtx, ownerTopic, e.end, wait)
 		if err != nil {
 			return err
 		}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -23,11 +23,15 @@
 }
 
 func join(t *testing.T, store *topictest.Store, name string) *candidate {
+	return joinAs(t, store, name, 0)
+}
+
+func joinAs(t *testing.T, store *topictest.Store, name string, weakness float64) *candidate {
 	ctx, stop := context.WithCancel(context.Background())
 	c := &candidate{stop: stop}
 	c.elector = &Elector{
 		Store: store, Log: hclog.NewNullLogger(), Eligible: func() bool { return true },
-		Self: Owner{Name: name, Incarnation: name + "-1", Address: name},
+		Self: Owner{Name: name, Incarnation: name + "-1", Address: name}, Weakness: weakness,
 		Serve: func(ctx context.Context, term *Term) error {
 			c.gone.Store(term.PredecessorGone)
 			c.serving.Store(term.Fence)
@@ -130,6 +134,23 @@
 	}
 }
 
+// Guards against a weak instance as the owner, whose orders come late: at a start and after a loss the strongest instance
+// wins, and a weak one serves if it is alone.
+func TestStrongestInstanceBecomesTheOwner(t *testing.T) {
+	store := &topictest.Store{}
+	weak := joinAs(t, store, "weak", 1)
+	middle := joinAs(t, store, "middle", 0.5)
+	strong := joinAs(t, store, "strong", 0)
+	await(t, "the strong one serves", func() bool { return strong.serving.Load() > 0 })
+	strong.stop()
+	await(t, "the middle one serves", func() bool { return middle.serving.Load() > 0 })
+	if weak.serving.Load() > 0 {
+		t.Error("the weak one serves")
+	}
+	middle.stop()
+	await(t, "the weak one serves", func() bool { return weak.serving.Load() > 0 })
+}
+
 // Guards the expiry: an owner that goes silent is replaced, and the term knows that nobody handed it over.
 func TestSilentOwnerIsReplaced(t *testing.T) {
 	store := &topictest.Store{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,6 +50,8 @@
 	// MaxRecordBytes and MaxCallBytes bound a record and an append of the store.
 	MaxRecordBytes, MaxCallBytes int
 	MemoryMB                     int
+	// Cores is the processor that the process may use; 0 if it is not limited.
+	Cores float64
 	// Front makes the handler for clients.
 	Front func(*entry.Entry) http.Handler
 	// API serves the own API; nil switches it off.
@@ -87,6 +89,8 @@
 	reportEvery    = time.Second // the time between two updates of gauges, as often as metrics are reported
 	memoryPercent  = 60          // of the memory limit, from which the garbage collector works harder
 	maxHeaderBytes = 16 << 10
+	// ampleCores is what an owner of the largest known deployment uses in a turn; its instances have 0.2 to 0.8.
+	ampleCores = 0.8
 )
 
 // node is a running process.
@@ -110,6 +114,7 @@
 	n.elector = &leader.Elector{
 		Store: cfg.Store, Log: cfg.Log.Named("leader"), Serve: n.serveAsOwner,
 		Self:     leader.Owner{Name: cfg.Name, Incarnation: uuid.NewString(), Address: cfg.PeerAddress},
+		Weakness: weakness(cfg.Cores),
 		Eligible: func() bool { return !n.stopping.Load() && n.entry.Catalog() != nil },
 	}
 	n.entry = &entry.Entry{Elector: n.elector, Local: n.local, Decode: n.decodeCatalog, Log: cfg.Log.Named("entry")}
@@ -137,6 +142,14 @@
 	return nil
 }
 
+// weakness tells how an instance compares as the owner: with ample processor it is as good as any.
+func weakness(cores float64) float64 {
+	if cores == 0 {
+		return 0
+	}
+	return min(1, max(0, (ampleCores-cores)/ampleCores))
+}
+
 // finish takes new connections until the platform has noticed, then completes what is in hand.
 func (n *node) finish(servers []server) {
 	deadline, stop := context.WithTimeout(context.Background(), n.cfg.Grace-exitReserve)
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -52,7 +52,8 @@
 
 // world is a store, a fleet of workers and the owners that work with them.
 type world struct {
-	t       *testing.T
+	t       testing.TB
+	quiet   bool // logs nothing
 	store   *topictest.Store
 	fleet   *workertest.Fleet
 	control instances.Control
@@ -64,7 +65,7 @@
 
 const testPool = "pool"
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	w := &world{t: t, store: &topictest.Store{}, fleet: &workertest.Fleet{}, infos: map[string]workers.Info{}}
 	w.limit(catalog.Resources{})
 	return w
@@ -93,7 +94,7 @@
 	w.store.Put("workers", info.ID, encodeJSON(w.t, info))
 }
 
-func encodeJSON(t *testing.T, v any) []byte {
+func encodeJSON(t testing.TB, v any) []byte {
 	data, err := json.Marshal(v)
 	if err != nil {
 		t.Fatal(err)
@@ -113,13 +114,17 @@
 func (w *world) owner(gone bool) *running {
 	w.fence++
 	ctx, cancel := context.WithCancel(context.Background())
+	log := hclog.New(&hclog.LoggerOptions{Output: testWriter{w.t}, Level: hclog.Debug})
+	if w.quiet {
+		log = hclog.NewNullLogger()
+	}
 	r := &running{end: cancel, done: make(chan error, 1)}
 	r.term = leader.NewTerm(w.fence, gone)
 	r.Owner = New(ctx, Config{
 		Store: w.store, Workers: w.fleet, Control: w.control, Advice: w.advice, Codec: codec{}, Catalog: w.catalog.Load,
 		OnCatalog: func(*catalog.Catalog) {}, Name: fmt.Sprint("owner-", w.fence), MaxRecordBytes: 64 << 10, MaxCallBytes: 1 << 20, Scope: tally.NoopScope,
 		Timing: Timing{MaxHold: 10 * time.Second, StopTime: 50 * time.Millisecond, Status: time.Minute, Upkeep: 200 * time.Millisecond},
-		Log:    hclog.New(&hclog.LoggerOptions{Output: testWriter{w.t}, Level: hclog.Debug}),
+		Log:    log,
 	}, r.term)
 	if err := r.Recover(); err != nil {
 		w.t.Fatal(err)
@@ -138,7 +143,7 @@
 func (r *running) stop() { r.end(); <-r.Owner.ctx.Done() }
 
 // testWriter sends log lines to the test's log, which is shown when it fails.
-type testWriter struct{ t *testing.T }
+type testWriter struct{ t testing.TB }
 
 func (w testWriter) Write(line []byte) (int, error) {
 	if w.t.Context().Err() == nil { // an owner may still log while the test ends
