Order moves and upkeeps within the rate of the instance service

Cause: a turn of the grown sites asked for some 200 moves at once; the service takes 64 orders a second and rejects the rest, so that chance decided which came first and upkeeps waited behind releases.

Change: pool.Calls is the budget of orders (90% of duty_per_s of the settings). Upkeeps take from it first, then what pools fetch, then what they release; what finds no budget is planned anew.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -93,7 +93,7 @@
 		Store: platform.NewStore(p.StoreAddress), Workers: platform.NewWorkers(), Codec: platform.Codec{},
 		Timing: owner.Timing{
 			MaxHold: p.Timing.MaxHold, StopTime: p.Timing.StopTime, Early: p.Timing.Early, Status: p.Timing.Status,
-			Move: p.Timing.Move, Upkeep: p.Timing.Upkeep,
+			Move: p.Timing.Move, Upkeep: p.Timing.Upkeep, ControlRate: p.Timing.ControlRate,
 		},
 		Grace: p.Timing.Grace, MaxRecordBytes: p.MaxRecordBytes, MaxCallBytes: p.MaxCallBytes, MemoryMB: p.MemoryMB, Cores: p.Cores, Log: log,
 		Metrics: m.Handler, Scope: m.Scope, LogLinesDropped: linesDropped,
--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/pollenford/pollenford/internal/instances"
+	"github.com/pollenford/pollenford/internal/pool"
 	"github.com/pollenford/pollenford/internal/topic"
 	"github.com/pollenford/pollenford/internal/wait"
 	"github.com/pollenford/pollenford/internal/workload"
@@ -25,6 +26,8 @@
 	controlTimeout = 1 * time.Second
 	// planEvery is the time between two looks at waves and pools.
 	planEvery = 100 * time.Millisecond
+	// orderShare is the part of the instance service's rate that new orders use; the rest is for repeated ones.
+	orderShare = 0.9
 	// emptyPatience is how long an instance is kept free of new work, waiting for short tasks to end, before its upkeep
 	// ends them.
 	emptyPatience = 4 * time.Second
@@ -38,6 +41,7 @@
 	listed    bool
 	waves     map[int64]*wave
 	nextPlan  time.Time
+	calls     pool.Calls // for orders
 }
 
 func (f *fleetState) init() {
@@ -199,6 +203,7 @@
 		return
 	}
 	o.fleet.nextPlan = now.Add(planEvery)
+	o.fleet.calls.Refill(now)
 	o.evicted = map[string]int{}
 	for _, w := range o.fleet.waves {
 		if w.known && !w.progress.Completed {
@@ -285,7 +290,7 @@
 	if inst.ordered {
 		return
 	}
-	if !o.evacuated(inst, now) {
+	if !o.evacuated(inst, now) || !o.fleet.calls.Take() {
 		return
 	}
 	inst.ordered = true
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -64,6 +64,9 @@
 		return 1
 	})
 	for _, m := range pool.Plan(list, pool.DefaultPolicy()) {
+		if !o.fleet.calls.Take() {
+			return
+		}
 		o.move(o.fleet.instances[m.Instance], m)
 	}
 }
