Place once for each append in a turn

Cause: the grown sites' turns saturated the owner's processor at some 1,300 starts a second: requests took 250 ms, starts went without an answer, jobs began seconds late. Ruled out by their logs: the rate of moves, workers that come late. 800 rounds of placement a second placed 1.5 tasks each, and each looks at every worker and every waiting step; yet what they decided waited for the append in flight.

Change: while an append is in flight nothing is placed; the next round takes all together.

--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -11,7 +11,7 @@
 	accepted, rejected, cancelled tally.Counter
 	starts, refused, unanswered   tally.Counter
 	lost, upkeeps, moves          tally.Counter
-	preempted                     tally.Counter
+	preempted, rounds             tally.Counter
 	ended                         map[string]tally.Counter // jobs by state
 	appended, recovery, firstRun  tally.Histogram
 	active, workers               tally.Gauge
@@ -24,7 +24,7 @@
 	m := metrics{
 		accepted: scope.Counter("jobs_accepted"), rejected: scope.Counter("jobs_rejected"), cancelled: scope.Counter("jobs_cancelled"),
 		starts: scope.Counter("starts"), refused: scope.Counter("starts_refused"), unanswered: scope.Counter("starts_unanswered"),
-		lost: scope.Counter("runs_lost"), upkeeps: scope.Counter("upkeeps"), moves: scope.Counter("moves"), preempted: scope.Counter("runs_preempted"),
+		lost: scope.Counter("runs_lost"), upkeeps: scope.Counter("upkeeps"), moves: scope.Counter("moves"), preempted: scope.Counter("runs_preempted"), rounds: scope.Counter("placement_rounds"),
 		appended: scope.Histogram("append_latency", durations), recovery: scope.Histogram("recovery", durations),
 		firstRun: scope.Histogram("first_start", durations),
 		active:   scope.Gauge("jobs_active"), workers: scope.Gauge("workers_held"),
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -61,6 +61,8 @@
 	Status   time.Duration // how long an ended job can be asked for
 	Move     time.Duration // until an instance has moved
 	Upkeep   time.Duration // until the upkeep of an instance is over
+	// ControlRate is how many orders a second the instance service takes; 0 is no limit.
+	ControlRate float64
 }
 
 // Config is what an owner works with.
@@ -152,6 +154,7 @@
 	}
 	o.ctx, o.cancel = context.WithCancelCause(ctx)
 	o.fleet.init()
+	o.fleet.calls.PerSecond = cfg.Timing.ControlRate * orderShare
 	return o
 }
 
@@ -304,7 +307,8 @@
 		case <-o.ctx.Done():
 			return context.Cause(o.ctx)
 		}
-		if o.replan {
+		// While an append is in flight, what is placed now would only wait for it: the next one takes all together.
+		if o.replan && !o.commit.flying {
 			o.replan = false
 			o.place()
 		}
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -75,6 +75,7 @@
 		return
 	}
 	now := time.Now()
+	o.metrics.rounds.Inc(1)
 	o.waiting = map[string]int64{}
 	list := o.readySteps()
 	if len(list) == 0 {
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -54,6 +54,8 @@
 type world struct {
 	t       testing.TB
 	quiet   bool // logs nothing
+	scope   tally.Scope
+	open    topic.Store // what owners work with
 	store   *topictest.Store
 	fleet   *workertest.Fleet
 	control instances.Control
@@ -68,6 +70,7 @@
 func newWorld(t testing.TB) *world {
 	w := &world{t: t, store: &topictest.Store{}, fleet: &workertest.Fleet{}, infos: map[string]workers.Info{}}
 	w.limit(catalog.Resources{})
+	w.scope, w.open = tally.NoopScope, w.store
 	return w
 }
 
@@ -121,8 +124,8 @@
 	r := &running{end: cancel, done: make(chan error, 1)}
 	r.term = leader.NewTerm(w.fence, gone)
 	r.Owner = New(ctx, Config{
-		Store: w.store, Workers: w.fleet, Control: w.control, Advice: w.advice, Codec: codec{}, Catalog: w.catalog.Load,
-		OnCatalog: func(*catalog.Catalog) {}, Name: fmt.Sprint("owner-", w.fence), MaxRecordBytes: 64 << 10, MaxCallBytes: 1 << 20, Scope: tally.NoopScope,
+		Store: w.open, Workers: w.fleet, Control: w.control, Advice: w.advice, Codec: codec{}, Catalog: w.catalog.Load,
+		OnCatalog: func(*catalog.Catalog) {}, Name: fmt.Sprint("owner-", w.fence), MaxRecordBytes: 64 << 10, MaxCallBytes: 1 << 20, Scope: w.scope,
 		Timing: Timing{MaxHold: 10 * time.Second, StopTime: 50 * time.Millisecond, Status: time.Minute, Upkeep: 200 * time.Millisecond},
 		Log:    log,
 	}, r.term)
