See sooner that a lasting task has started up

Cause: waves of the grown sites moved lasting tasks one after the other (availability budgets) and took some 2.3 s each; up to a second of it passed between the task's start-up and the report that shows it, so that 2 to 4 of 161 instances were late.

Change: a worker with a lasting task that is not at work yet is held with short waits.

TestStartUpOfALastingTaskIsSeenSoon fails without the change.

--- a/internal/owner/fleet_test.go
+++ b/internal/owner/fleet_test.go
@@ -142,6 +142,26 @@
 	return err == nil && len(records) == 1 && string(records[0].Value) == "true"
 }
 
+// Guards the pace of waves: that a lasting task has started up is known soon, because the upkeep of another instance may
+// wait for it. (With holds of a second it was known up to a second late.)
+func TestStartUpOfALastingTaskIsSeenSoon(t *testing.T) {
+	const startUp = 1200 * time.Millisecond
+	w := newWorld(t)
+	w.worker("w1", 0).StartUp = startUp
+	o := w.owner(true)
+	w.submit(o, lasting("a", 1, 1))
+	w.await("the task runs", func() bool { return len(w.fleet.Starts()) == 1 })
+	began := w.fleet.Starts()[0].At
+	w.await("the task is at work", func() bool {
+		away := make(chan int)
+		o.post(func() { away <- o.away(o.jobs["a"], 0, 0) })
+		return <-away == 0
+	})
+	if late := time.Since(began) - startUp; late < 0 || late > 2*startupWait {
+		t.Errorf("known %v after the start-up", late)
+	}
+}
+
 // Guards availability budgets and the bound of a wave: with one task of a step that may be away, the upkeep of all its
 // instances takes them one after the other, and the wave is completed only after the last has begun.
 func TestWaveKeepsAvailability(t *testing.T) {
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -21,6 +21,8 @@
 	leaseTime = 4 * time.Second
 	// holdWait is how long a worker may wait for an end before it answers a hold.
 	holdWait = 1 * time.Second
+	// startupWait is the same while a lasting task starts up, which takes some tenths of a second.
+	startupWait = 150 * time.Millisecond
 	// holdTimeout is how long an answer may take beyond holdWait before the connection counts as lost.
 	holdTimeout = 600 * time.Millisecond
 	holdRetry   = 100 * time.Millisecond
@@ -290,7 +292,7 @@
 		o.afterCommit(func() {
 			if w.session == s {
 				w.endsRecorded = max(w.endsRecorded, upTo)
-				o.resume(w, holdWait)
+				o.resume(w, w.holdFor())
 			}
 		})
 	case first:
@@ -301,10 +303,21 @@
 			}
 		})
 	default:
-		o.resume(w, holdWait)
+		o.resume(w, w.holdFor())
 	}
 }
 
+// holdFor is how long the worker may wait for an end: while a lasting task starts up, its next one may have to wait for
+// the report that it is at work.
+func (w *worker) holdFor() time.Duration {
+	for _, p := range w.runs {
+		if p.step().LongRunning && !p.stopping && (!p.listed || p.percent < 100) {
+			return startupWait
+		}
+	}
+	return holdWait
+}
+
 func (o *Owner) holdFailed(w *worker, err error) {
 	if errors.Is(err, workers.ErrFenced) {
 		o.replaced("worker " + w.info.ID + " follows a newer owner")
--- a/internal/workers/workertest/fleet.go
+++ b/internal/workers/workertest/fleet.go
@@ -41,6 +41,8 @@
 	Incarnation int64
 	// WorkFor is how long a run takes; 0 until it is stopped.
 	WorkFor time.Duration
+	// StartUp is how long a run takes until it works at its full speed. It is set before the first run.
+	StartUp time.Duration
 	// Work, if not nil, tells from the specification what a run does. It is set before the first run.
 	Work func(spec string) Work
 
@@ -68,6 +70,7 @@
 
 type run struct {
 	number int
+	began  time.Time
 	ends   time.Time // zero for a run that lasts
 	work   Work
 }
@@ -254,7 +257,7 @@
 		return w.clock(), workers.ErrLate
 	}
 	w.extend(o.UntilMS)
-	r := &run{number: o.Run, work: Work{For: w.WorkFor, How: workers.Done}}
+	r := &run{number: o.Run, began: time.Now(), work: Work{For: w.WorkFor, How: workers.Done}}
 	if w.Work != nil {
 		r.work = w.Work(o.Spec)
 	}
@@ -320,7 +323,11 @@
 	defer f.mu.Unlock()
 	report := workers.Report{Incarnation: w.Incarnation, ClockMS: w.clock(), Ended: append([]workers.End(nil), w.ended...)}
 	for task, r := range w.runs {
-		report.Running = append(report.Running, workers.Run{Task: task, Number: r.number, Percent: 100})
+		percent := 100
+		if time.Since(r.began) < w.StartUp {
+			percent = 0
+		}
+		report.Running = append(report.Running, workers.Run{Task: task, Number: r.number, Percent: percent})
 	}
 	return report, nil
 }
