Add a soak that injects random faults into real processes

TestSoak runs the stand-in of the platform, three nodes and clients as processes and goroutines of one machine, and kills, stops, pauses and restarts nodes, cuts, silences and resets their connections to the store, and takes the store or its answers away, by a seed. It checks that every answer belongs to its request, that work which must not run twice does not, that what is said not to have run has not, and that everything handed in under a key is answered after the faults. Two seeds run in every test.

--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -143,7 +143,15 @@
 // $NAME_READY that of its readiness.
 func cmdNode(ts *testscript.TestScript, _ bool, args []string) {
 	name := args[0]
-	api, client, ready, first := freeAddress(ts), freeAddress(ts), freeAddress(ts), freePair(ts)
+	api, client, ready := freeAddress(ts), freeAddress(ts), freeAddress(ts)
+	ts.Check(writeNode(ts.MkAbs(name), name, args[1], api, client, ready, freePair(ts)))
+	ts.Setenv(name, api)
+	ts.Setenv(name+"_READY", ready)
+}
+
+// writeNode writes the settings of a node to PATH.toml and PATH.json. Its peers and scrapes use the port first and the
+// next one.
+func writeNode(path, name, platform, api, client, ready string, first int) error {
 	text := fmt.Sprintf(`node = %q
 ip = "127.0.0.1"
 zone = "az-1"
@@ -164,25 +172,39 @@
 call_bytes = 2097152
 [cloud]
 address = %q
-`, name, first, first+1, client, ready, args[1], args[1])
-	ts.Check(os.WriteFile(ts.MkAbs(name+".toml"), []byte(text), 0o600))
+`, name, first, first+1, client, ready, platform, platform)
+	if err := os.WriteFile(path+".toml", []byte(text), 0o600); err != nil {
+		return err
+	}
 	// The token is "operator-token".
 	own := fmt.Sprintf(`{"api":{"listen":%q},"log":{"level":"debug"},"operators":[{"name":"scenario","token_sha256":%q}],
 "objectives":{"walk-in":{"queue":"walk-in","target":0.9,"latency_ms":2000,"window_hours":24}}}`, api, operatorDigest)
-	ts.Check(os.WriteFile(ts.MkAbs(name+".json"), []byte(own), 0o600))
-	ts.Setenv(name, api)
-	ts.Setenv(name+"_READY", ready)
+	return os.WriteFile(path+".json", []byte(own), 0o600)
 }
 
 // freePair returns the first of two free ports in a row.
 func freePair(ts *testscript.TestScript) int {
+	port, err := twoPorts()
+	ts.Check(err)
+	return port
+}
+
+func twoPorts() (int, error) {
 	for before := -1; ; {
-		_, text, err := net.SplitHostPort(freeAddress(ts))
-		ts.Check(err)
+		address, err := porttest.Address()
+		if err != nil {
+			return 0, err
+		}
+		_, text, err := net.SplitHostPort(address)
+		if err != nil {
+			return 0, err
+		}
 		port, err := strconv.Atoi(text)
-		ts.Check(err)
+		if err != nil {
+			return 0, err
+		}
 		if port == before+1 {
-			return before
+			return before, nil
 		}
 		before = port
 	}
--- /dev/null
+++ b/scenarios/soak_test.go
@@ -0,0 +1,326 @@
+package scenarios
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pollenford/pollenford/internal/porttest"
+)
+
+// regressionSeeds run in every test. A seed that ever failed joins them with its cause.
+//   - 1: a short run without a finding
+//   - 20: a relay could not listen, because its address had been chosen before; it listens on a free one now
+var regressionSeeds = []uint64{1, 20}
+
+const (
+	soakFaults = 8 * time.Second // how long faults are injected in one seed
+	soakHeal   = 60 * time.Second
+	soakNodes  = 3
+	soakCalls  = 6 // clients
+)
+
+// TestSoak injects random faults into real processes and checks the promises that clients and workers see: every answer
+// belongs to its request, work that must not run twice does not, what is said not to have run has not, and after the
+// faults everything that was handed in under a key is answered. SOAK_SEEDS=FIRST:COUNT runs other seeds.
+func TestSoak(t *testing.T) {
+	seeds := regressionSeeds
+	if text := os.Getenv("SOAK_SEEDS"); text != "" {
+		var first, count uint64
+		if _, err := fmt.Sscanf(text, "%d:%d", &first, &count); err != nil {
+			t.Fatal(err)
+		}
+		seeds = nil
+		for i := range count {
+			seeds = append(seeds, first+i)
+		}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			newSoak(t, seed).run()
+		})
+	}
+}
+
+// soak is one play with a seed.
+type soak struct {
+	t        *testing.T
+	dir      string
+	rng      *rand.Rand
+	platform string
+	nodes    []*soakNode
+
+	mu     sync.Mutex
+	notRun []string // jobs that were said not to have run; protected by mu
+	stop   chan struct{}
+}
+
+type soakNode struct {
+	name, api string
+	store     *relay
+	process   *exec.Cmd
+	frozen    bool
+}
+
+func newSoak(t *testing.T, seed uint64) *soak {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &soak{t: t, dir: dir, rng: rand.New(rand.NewPCG(seed, 0)), stop: make(chan struct{})}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("seed %d: logs of all processes in %s", seed, dir)
+			return
+		}
+		_ = os.RemoveAll(dir) // a directory that stays does no harm
+	})
+	config := `{"version":1,"routes":[{"name":"walk-in","host":"h","path_prefix":"/w/","service":"quick","anonymous":true}],"services":[{"name":"quick"}],"tenants":[]}`
+	s.check(os.WriteFile(filepath.Join(dir, "config.json"), []byte(config), 0o600))
+	s.platform = s.address()
+	s.start("platform", nil, "dev", "platform", "--listen", s.platform, "--config", "config.json")
+	s.await("the platform answers", func() bool { _, _, err := s.get("http://" + s.platform + "/dev/runs"); return err == nil })
+	for i := range soakNodes {
+		n := &soakNode{name: fmt.Sprint("e", i+1), api: s.address()}
+		n.store, err = newRelay("127.0.0.1:0", s.platform)
+		s.check(err)
+		t.Cleanup(n.store.close)
+		first, err := twoPorts()
+		s.check(err)
+		s.check(writeNode(filepath.Join(dir, n.name), n.name, n.store.listener.Addr().String(), n.api, s.address(), s.address(), first))
+		s.nodes = append(s.nodes, n)
+		s.startNode(n)
+	}
+	for _, n := range s.nodes {
+		s.await(n.name+" is ready", func() bool {
+			status, _, err := s.get("http://" + n.api + "/readyz")
+			return err == nil && status == 200
+		})
+	}
+	return s
+}
+
+func (s *soak) check(err error) {
+	s.t.Helper()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *soak) address() string {
+	address, err := porttest.Address()
+	s.check(err)
+	return address
+}
+
+func (s *soak) await(what string, condition func() bool) {
+	s.t.Helper()
+	for deadline := time.Now().Add(soakHeal); !condition(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("not within %v: %s", soakHeal, what)
+		}
+	}
+}
+
+func (s *soak) get(url string) (int, []byte, error) {
+	res, err := patient.Get(url)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return res.StatusCode, body, err
+}
+
+// start starts a process that ends with the test.
+func (s *soak) start(name string, env []string, args ...string) *exec.Cmd {
+	log, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	s.check(err)
+	defer log.Close()
+	cmd := exec.Command("pollenford", args...)
+	cmd.Dir, cmd.Stdout, cmd.Stderr, cmd.Env = s.dir, log, log, append(os.Environ(), env...)
+	s.check(cmd.Start())
+	s.t.Cleanup(func() { s.end(cmd, syscall.SIGKILL) })
+	return cmd
+}
+
+func (s *soak) startNode(n *soakNode) {
+	n.process = s.start(n.name, []string{"POLLENFORD_SETTINGS=" + filepath.Join(s.dir, n.name+".toml")}, "node", "--settings", n.name+".json")
+}
+
+// end signals a process and waits for its end.
+func (s *soak) end(cmd *exec.Cmd, signal syscall.Signal) {
+	if cmd.ProcessState != nil {
+		return
+	}
+	_ = cmd.Process.Signal(signal)
+	_ = cmd.Wait() // the exit status of a killed process is no finding
+}
+
+func (s *soak) run() {
+	var clients sync.WaitGroup
+	for c := range soakCalls {
+		clients.Go(func() { s.client(c) })
+	}
+	for until := time.Now().Add(soakFaults); time.Now().Before(until); {
+		s.fault()
+		time.Sleep(time.Duration(s.rng.IntN(600)) * time.Millisecond)
+	}
+	s.heal()
+	close(s.stop)
+	clients.Wait()
+	_, data, err := s.get("http://" + s.platform + "/dev/starts")
+	s.check(err)
+	var starts []string
+	s.check(json.Unmarshal(data, &starts))
+	runs := map[string]int{}
+	for _, task := range starts {
+		job, _, _ := strings.Cut(task, ".")
+		if runs[job]++; runs[job] > 1 {
+			s.t.Errorf("job %s ran %d times", job, runs[job])
+		}
+	}
+	for _, job := range s.notRun {
+		if runs[job] > 0 {
+			s.t.Errorf("job %s ran, although it was said not to have run", job)
+		}
+	}
+	s.t.Logf("%d jobs ran, %d were refused as not run", len(runs), len(s.notRun))
+}
+
+// fault injects one fault. Faults overlap: what a fault needs to end runs beside the next ones.
+func (s *soak) fault() {
+	n := s.nodes[s.rng.IntN(len(s.nodes))]
+	length := time.Duration(200+s.rng.IntN(2500)) * time.Millisecond
+	switch kind := s.rng.IntN(7); kind {
+	case 0, 1:
+		s.thaw(n)
+		s.end(n.process, []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[kind])
+		time.Sleep(length / 5)
+		s.startNode(n)
+	case 2:
+		_ = n.process.Process.Signal(syscall.SIGSTOP)
+		n.frozen = true
+		time.Sleep(length)
+		s.thaw(n)
+	case 3, 4:
+		n.store.setMode([]cutMode{cutSilent, cutReset}[kind-3])
+		time.AfterFunc(length, func() { n.store.setMode(cutNone) })
+	case 5:
+		n.store.setMode(cutOpen)
+		n.store.setMode(cutNone)
+	case 6:
+		s.storeFaults(fmt.Sprintf(`{"Down":%v,"LoseAnswers":%d}`, s.rng.IntN(2) == 0, s.rng.IntN(4)))
+		time.Sleep(length / 2)
+		s.storeFaults("{}")
+	}
+}
+
+func (s *soak) thaw(n *soakNode) {
+	if n.frozen {
+		_ = n.process.Process.Signal(syscall.SIGCONT)
+		n.frozen = false
+	}
+}
+
+func (s *soak) storeFaults(body string) {
+	res, err := patient.Post("http://"+s.platform+"/dev/faults", "application/json", strings.NewReader(body))
+	s.check(err)
+	s.check(res.Body.Close())
+}
+
+func (s *soak) heal() {
+	s.storeFaults("{}")
+	for _, n := range s.nodes {
+		s.thaw(n)
+		n.store.setMode(cutNone)
+	}
+}
+
+// client hands in work that must not run twice until the faults are over. Half of its requests have a key and are asked
+// for again until they are answered.
+func (s *soak) client(number int) {
+	rng := rand.New(rand.NewPCG(uint64(number), 1))
+	for n := 0; ; n++ {
+		select {
+		case <-s.stop:
+			return
+		default:
+		}
+		echo, key := fmt.Sprintf("%d-%d", number, n), ""
+		if n%2 == 0 {
+			key = echo
+		}
+		deadline := time.Now().Add(soakHeal + soakFaults)
+		for answered := false; !answered; {
+			answered = s.ask(s.nodes[rng.IntN(len(s.nodes))].api, echo, key, rng) || key == ""
+			if time.Now().After(deadline) {
+				s.t.Errorf("no answer for key %s", key)
+				return
+			}
+		}
+	}
+}
+
+// ask sends one request and reports whether its outcome is final.
+func (s *soak) ask(api, echo, key string, rng *rand.Rand) bool {
+	runMS, deadlineMS := 100, 3000 // the same request each time
+	if key == "" {
+		runMS, deadlineMS = 20+rng.IntN(300), 300+rng.IntN(1500)
+	}
+	body := fmt.Sprintf(`{"echo":%q,"run_ms":%d}`, echo, runMS)
+	req, err := http.NewRequest(http.MethodPost, "http://"+api+"/v1/queues/walk-in/requests", strings.NewReader(body))
+	if err != nil {
+		s.t.Error(err)
+		return true
+	}
+	req.Header.Set("Pollenford-Deadline-Ms", strconv.Itoa(deadlineMS))
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	client := http.Client{Timeout: 5 * time.Second} // a frozen node answers nothing
+	res, err := client.Do(req)
+	if err != nil {
+		time.Sleep(50 * time.Millisecond) // the node is down
+		return false
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return false
+	}
+	if res.StatusCode == http.StatusOK {
+		if !bytes.Contains(data, []byte(strconv.Quote(echo))) {
+			s.t.Errorf("request %s got the answer %s", echo, data)
+		}
+		return true
+	}
+	var problem struct {
+		Outcome string
+		Reason  string
+		JobID   string `json:"job_id"`
+	}
+	if err := json.Unmarshal(data, &problem); err != nil {
+		s.t.Errorf("status %d: %s", res.StatusCode, data)
+		return true
+	}
+	if problem.Outcome == "not-run" && key == "" && problem.JobID != "" {
+		s.mu.Lock()
+		s.notRun = append(s.notRun, problem.JobID)
+		s.mu.Unlock()
+	}
+	return problem.Reason == "interrupted" || problem.Reason == "failed"
+}
