Pass the version that a request was admitted by, not the one in force when it is sent

Cause: the request was admitted by version 1; the first attempt, at the node's own term that was over, took until version 2 had arrived; the second attempt then told the next owner version 2. Ruled out: an owner with an older configuration (its log has version 2 before).

Change: a call of the inner protocol carries the version of its admission, and an entry with a newer configuration than the admission decides anew before every attempt.

The new case of TestOlderAdmissionIsDecidedAnew fails without the change.

--- a/internal/api/requests.go
+++ b/internal/api/requests.go
@@ -50,6 +50,7 @@
 	began := time.Now()
 	job, admission, err := s.admit(asSubmit(p), body)
 	if err != nil {
+		s.refused("send", p.Queue, admission, err)
 		return nil, nil, err
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline(p.DeadlineMs, began))
@@ -156,6 +157,7 @@
 	began := time.Now()
 	job, admission, err := s.admit(p, body)
 	if err != nil {
+		s.refused("submit", p.Queue, admission, err)
 		return nil, err
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline(p.DeadlineMs, began))
@@ -168,6 +170,11 @@
 	return &requests.Job{ID: job.ID, Status: "queued"}, nil
 }
 
+// refused logs a request that was not admitted. Its client caused that, so it counts towards no objective.
+func (s *Requests) refused(what, queue string, a entry.Admission, err error) {
+	s.Log.Info("request refused", "method", what, "queue", queue, "organisation", a.Organisation, "config", a.Version, "err", err)
+}
+
 // finished logs and counts a request.
 func (s *Requests) finished(what string, job *workload.Job, a entry.Admission, err error, began time.Time) {
 	took := time.Since(began)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -186,16 +186,18 @@
 	uncertain := false
 	var last error = errors.New("there is no owner")
 	for {
-		if service := e.owner(); service != nil {
+		if refusal := e.readmitIfOlder(a); refusal != nil {
+			if uncertain {
+				return errors.Annotate(jobs.ErrOutcomeUnknown, refusal.Error())
+			}
+			return refusal
+		}
+		if service := e.owner(a); service != nil {
 			err := call(service)
 			var rejection *jobs.Rejection
 			switch {
 			case errors.Is(err, jobs.ErrStale):
-				if refusal := e.readmit(a); refusal != nil && uncertain {
-					return errors.Annotate(jobs.ErrOutcomeUnknown, refusal.Error())
-				} else if refusal != nil {
-					return refusal
-				}
+				// The newer configuration is in force here by now.
 			case errors.Is(err, jobs.ErrOutcomeUnknown):
 				uncertain = uncertain || kind == changing
 			case errors.As(err, &rejection) && !rejection.Permanent && !rejection.Overloaded:
@@ -217,9 +219,10 @@
 	}
 }
 
-// readmit decides on a request by the configuration that was just learned of. Calls of operators need no admission.
-func (e *Entry) readmit(a *Admission) error {
-	if a == nil {
+// readmitIfOlder decides anew on a request that was admitted by an older configuration than the one in force. Calls of
+// operators need no admission.
+func (e *Entry) readmitIfOlder(a *Admission) error {
+	if a == nil || a.Version >= e.version() {
 		return nil
 	}
 	older := a.Version
@@ -228,16 +231,16 @@
 	return err
 }
 
-// Version implements link.Configuration.
-func (e *Entry) Version() int64 {
+// version returns the version of the configuration in force, 0 without one.
+func (e *Entry) version() int64 {
 	if c := e.catalog.Load(); c != nil {
 		return c.Version
 	}
 	return 0
 }
 
-// Learn implements link.Configuration.
-func (e *Entry) Learn(document []byte) {
+// learn puts a configuration of the owner in force unless a newer one is.
+func (e *Entry) learn(document []byte) {
 	c, err := e.Decode(document)
 	if err != nil {
 		e.Log.Error("the owner's configuration is not readable", "err", err)
@@ -246,13 +249,16 @@
 	e.SetCatalog(c)
 }
 
-// owner returns the owner as far as it can be reached, or nil.
-func (e *Entry) owner() jobs.Service {
+// owner returns the service of the owner for a request, or nil if it cannot be reached.
+func (e *Entry) owner(a *Admission) jobs.Service {
 	if local := e.Local(); local != nil {
 		return local
 	}
 	if client := e.connected.Load(); client != nil {
-		return client
+		if a == nil {
+			return client.At(e.version())
+		}
+		return client.At(a.Version)
 	}
 	return nil
 }
@@ -295,7 +301,7 @@
 		}
 	}()
 	lost := make(chan struct{})
-	client, err := link.Dial(ctx, owner.Address, owner.Incarnation, e, func() { close(lost) })
+	client, err := link.Dial(ctx, owner.Address, owner.Incarnation, e.learn, func() { close(lost) })
 	if err != nil {
 		return err
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -118,24 +118,29 @@
 		return catalog.New(v, []*catalog.Queue{{Name: "q"}}, nil, []*catalog.Organisation{{Name: "org", Keys: []string{key}}}, catalog.HTTPLimits{})
 	}
 	for name, c := range map[string]struct {
-		newKey string
-		first  error
-		want   error
+		newKey  string
+		first   error
+		want    error
+		arrives bool // the configuration arrives by itself during the first attempt
 	}{
-		"withdrawn":                        {"new", nil, ErrUnknownKey},
-		"still valid":                      {"old", nil, nil},
-		"withdrawn, first attempt unknown": {"new", jobs.ErrOutcomeUnknown, jobs.ErrOutcomeUnknown},
+		"withdrawn":                          {"new", nil, ErrUnknownKey, false},
+		"still valid":                        {"old", nil, nil, false},
+		"withdrawn, first attempt unknown":   {"new", jobs.ErrOutcomeUnknown, jobs.ErrOutcomeUnknown, false},
+		"withdrawn during the first attempt": {"new", &jobs.Rejection{Reason: "not the owner"}, ErrUnknownKey, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var e *Entry
 			answers := []error{jobs.ErrStale, nil}
-			if c.first != nil {
+			switch {
+			case c.arrives:
+				answers = []error{c.first, nil}
+			case c.first != nil:
 				answers = append([]error{c.first}, answers...)
 			}
 			s := &service{submit: func() error {
 				answer := answers[0]
 				answers = answers[1:]
-				if errors.Is(answer, jobs.ErrStale) {
+				if errors.Is(answer, jobs.ErrStale) || c.arrives {
 					e.SetCatalog(version(2, c.newKey))
 				}
 				return answer
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -188,17 +188,10 @@
 	return res
 }
 
-// Configuration is what a client decides by and what it learns from the owner.
-type Configuration interface {
-	// Version returns the version of the configuration in force, 0 without one.
-	Version() int64
-	// Learn puts a document in force unless a newer one is.
-	Learn(document []byte)
-}
-
-// Client calls the owner at one address. It implements jobs.Service.
+// Client calls the owner at one address.
 type Client struct {
-	config Configuration
+	// learn puts a document of the owner in force unless a newer one is.
+	learn  func(document []byte)
 	conn   *websocket.Conn
 	stop   context.CancelFunc
 	nextID atomic.Uint64
@@ -208,8 +201,8 @@
 	lost    bool                   // protected by mu; no call may be added
 }
 
-// Dial connects to the process of the owner at an address (IP:port). onLost is called once when the connection ends.
-func Dial(ctx context.Context, address, incarnation string, config Configuration, onLost func()) (*Client, error) {
+// Dial connects to the process of the owner at an address (IP:port). learn takes a newer configuration of the owner, onLost is called once when the connection ends.
+func Dial(ctx context.Context, address, incarnation string, learn func(document []byte), onLost func()) (*Client, error) {
 	dialCtx, stopDial := context.WithTimeout(ctx, dialTimeout)
 	defer stopDial()
 	target := "ws://" + address + Path + "?" + url.Values{incarnationParameter: {incarnation}}.Encode()
@@ -222,7 +215,7 @@
 	}
 	conn.SetReadLimit(maxMessage)
 	runCtx, stop := context.WithCancel(ctx)
-	c := &Client{config: config, conn: conn, stop: stop, waiting: map[uint64]chan answer{}}
+	c := &Client{learn: learn, conn: conn, stop: stop, waiting: map[uint64]chan answer{}}
 	go c.ping(runCtx)
 	go func() {
 		c.read(runCtx)
@@ -288,7 +281,6 @@
 
 func (c *Client) call(ctx context.Context, req request) (answer, error) {
 	req.ID = c.nextID.Add(1)
-	req.Version = c.config.Version()
 	ctx, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
 	if deadline, ok := ctx.Deadline(); ok {
@@ -323,7 +315,7 @@
 			return answer{}, errors.Annotate(jobs.ErrOutcomeUnknown, "the connection to the owner was lost")
 		}
 		if a.Result == stale {
-			c.config.Learn(a.Document)
+			c.learn(a.Document)
 		}
 		return a, a.err()
 	case <-ctx.Done():
@@ -347,39 +339,48 @@
 	return jobs.ErrOutcomeUnknown
 }
 
+// At returns the owner's service for a caller that has decided by a version of the configuration.
+func (c *Client) At(version int64) jobs.Service { return caller{c, version} }
+
+// caller implements jobs.Service.
+type caller struct {
+	*Client
+	version int64
+}
+
 // Submit implements jobs.Service.
-func (c *Client) Submit(ctx context.Context, job *workload.Job) error {
-	_, err := c.call(ctx, request{Kind: submit, Job: job})
+func (c caller) Submit(ctx context.Context, job *workload.Job) error {
+	_, err := c.call(ctx, request{Version: c.version, Kind: submit, Job: job})
 	return err
 }
 
 // Status implements jobs.Service.
-func (c *Client) Status(ctx context.Context, id, organisation string) (jobs.Status, error) {
-	a, err := c.call(ctx, request{Kind: status, JobID: id, Organisation: organisation})
+func (c caller) Status(ctx context.Context, id, organisation string) (jobs.Status, error) {
+	a, err := c.call(ctx, request{Version: c.version, Kind: status, JobID: id, Organisation: organisation})
 	return a.Status, err
 }
 
 // Cancel implements jobs.Service.
-func (c *Client) Cancel(ctx context.Context, id, organisation string) error {
-	_, err := c.call(ctx, request{Kind: cancel, JobID: id, Organisation: organisation})
+func (c caller) Cancel(ctx context.Context, id, organisation string) error {
+	_, err := c.call(ctx, request{Version: c.version, Kind: cancel, JobID: id, Organisation: organisation})
 	return err
 }
 
 // Pending implements jobs.Service.
-func (c *Client) Pending(ctx context.Context, queue string) (int, error) {
-	a, err := c.call(ctx, request{Kind: pending, Queue: queue})
+func (c caller) Pending(ctx context.Context, queue string) (int, error) {
+	a, err := c.call(ctx, request{Version: c.version, Kind: pending, Queue: queue})
 	return a.Pending, err
 }
 
 // Await implements jobs.Service.
-func (c *Client) Await(ctx context.Context, id, organisation string) (jobs.Status, error) {
-	a, err := c.call(ctx, request{Kind: await, JobID: id, Organisation: organisation})
+func (c caller) Await(ctx context.Context, id, organisation string) (jobs.Status, error) {
+	a, err := c.call(ctx, request{Version: c.version, Kind: await, JobID: id, Organisation: organisation})
 	return a.Status, err
 }
 
 // Fleet implements jobs.Service.
-func (c *Client) Fleet(ctx context.Context) (jobs.Fleet, error) {
-	a, err := c.call(ctx, request{Kind: fleet})
+func (c caller) Fleet(ctx context.Context) (jobs.Fleet, error) {
+	a, err := c.call(ctx, request{Version: c.version, Kind: fleet})
 	if err != nil {
 		return jobs.Fleet{}, err
 	}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -36,17 +36,8 @@
 func (s *service) Pending(context.Context, string) (int, error) { return 7, s.err }
 func (s *service) Fleet(context.Context) (jobs.Fleet, error)    { return s.fleet, s.err }
 
-// config is the configuration of the calling side.
-type config struct {
-	version int64
-	learned []byte
-}
-
-func (c *config) Version() int64 { return c.version }
-func (c *config) Learn(d []byte) { c.learned, c.version = d, c.version+1 }
-
 // connect returns a client of a server for an owner, which has configuration 2.
-func connect(t *testing.T, owner jobs.Service, c *config) *Client {
+func connect(t *testing.T, owner jobs.Service, learn func([]byte)) *Client {
 	t.Helper()
 	current := catalog.New(2, nil, nil, nil, catalog.HTTPLimits{})
 	current.Document = []byte("version 2")
@@ -54,7 +45,7 @@
 		Incarnation: "one", Owner: func() jobs.Service { return owner }, Catalog: func() *catalog.Catalog { return current }, Log: hclog.NewNullLogger(),
 	})
 	t.Cleanup(server.Close)
-	client, err := Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), "one", c, func() {})
+	client, err := Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), "one", learn, func() {})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -65,7 +56,7 @@
 // Guards what callers are told: each kind of answer arrives as what the owner said.
 func TestAnswersArriveAsTheyAre(t *testing.T) {
 	s := &service{}
-	client := connect(t, s, &config{version: 2})
+	client := connect(t, s, func([]byte) { t.Error("learned without need") }).At(2)
 	rejection := &jobs.Rejection{Reason: "full", RetryAfter: time.Second, Overloaded: true}
 	for _, c := range []struct {
 		err  error
@@ -101,15 +92,16 @@
 // Guards requests that were admitted by an old configuration, such as those of an instance that was suspended: nothing is
 // done for them, and the caller learns the newer configuration even if the store does not reach it.
 func TestOlderConfigurationIsNotServed(t *testing.T) {
-	s, c := &service{}, &config{version: 1}
-	client := connect(t, s, c)
-	if err := client.Submit(t.Context(), &workload.Job{ID: "a"}); !errors.Is(err, jobs.ErrStale) || s.calls != 0 {
+	s := &service{}
+	learned := ""
+	client := connect(t, s, func(document []byte) { learned = string(document) })
+	if err := client.At(1).Submit(t.Context(), &workload.Job{ID: "a"}); !errors.Is(err, jobs.ErrStale) || s.calls != 0 {
 		t.Errorf("%v, %d calls reached the owner", err, s.calls)
 	}
-	if string(c.learned) != "version 2" {
-		t.Errorf("learned %q", c.learned)
+	if learned != "version 2" {
+		t.Errorf("learned %q", learned)
 	}
-	if err := client.Submit(t.Context(), &workload.Job{ID: "a"}); err != nil || s.calls != 1 {
+	if err := client.At(2).Submit(t.Context(), &workload.Job{ID: "a"}); err != nil || s.calls != 1 {
 		t.Errorf("with the newer configuration: %v, %d calls", err, s.calls)
 	}
 }
@@ -118,7 +110,7 @@
 func TestOtherProcess(t *testing.T) {
 	server := httptest.NewServer(&Server{Incarnation: "two", Log: hclog.NewNullLogger()})
 	t.Cleanup(server.Close)
-	if _, err := Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), "one", &config{}, func() {}); !errors.Is(err, ErrOtherProcess) {
+	if _, err := Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), "one", nil, func() {}); !errors.Is(err, ErrOtherProcess) {
 		t.Errorf("%v", err)
 	}
 }
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -87,25 +87,7 @@
 		}
 		return 1
 	})
-	c := o.cfg.Catalog()
-	pools := map[string]*poolView{}
-	for i := range list {
-		r := &list[i]
-		q := c.Queues[r.job.spec.Queue]
-		if q == nil {
-			continue
-		}
-		view := pools[q.Pool]
-		if view == nil {
-			view = o.viewPool(q.Pool, now)
-			pools[q.Pool] = view
-		}
-		r.queue, r.view, r.org = q, view, c.Organisations[r.job.spec.Organisation]
-		view.asked[r.job.spec.Organisation] += o.allowed(r) * r.job.spec.Steps[r.step].Counted().CPU
-	}
-	for _, view := range pools {
-		view.divide(c)
-	}
+	o.joinPools(list, now)
 	// Deadlines decide as long as they can be met. Late work in a full pool is divided by shares; what some organisations
 	// leave of theirs goes to the others.
 	var late []*ready
@@ -129,6 +111,29 @@
 	o.preempt(list, now)
 }
 
+// joinPools sets what the steps need of the configuration and of their pools, and the shares of full pools.
+func (o *Owner) joinPools(list []ready, now time.Time) {
+	c := o.cfg.Catalog()
+	pools := map[string]*poolView{}
+	for i := range list {
+		r := &list[i]
+		q := c.Queues[r.job.spec.Queue]
+		if q == nil {
+			continue
+		}
+		view := pools[q.Pool]
+		if view == nil {
+			view = o.viewPool(q.Pool, now)
+			pools[q.Pool] = view
+		}
+		r.queue, r.view, r.org = q, view, c.Organisations[r.job.spec.Organisation]
+		view.asked[r.job.spec.Organisation] += o.allowed(r) * r.job.spec.Steps[r.step].Counted().CPU
+	}
+	for _, view := range pools {
+		view.divide(c)
+	}
+}
+
 func (o *Owner) readySteps() []ready {
 	var list []ready
 	for _, j := range o.active {
