Say nothing of a job's work when a question about it is refused

Cause, found by reading the change once more: a question about a job (its state, its answer, a cancel, and the check of an idempotency key after the job was handed in) that found no owner was answered with the outcome not-run, although the work may have run. Such a refusal now has the outcome unknown. TestRefusedQuestionSaysNothingOfTheWork failed for all five calls before.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -28,6 +28,7 @@
 // service is an owner that answers as a test says.
 type service struct {
 	submitErr error
+	statusErr error
 	status    jobs.Status
 	ends      bool // whether Await returns
 	submitted atomic.Pointer[workload.Job]
@@ -42,6 +43,9 @@
 }
 
 func (s *service) Status(context.Context, string, string) (jobs.Status, error) {
+	if s.statusErr != nil {
+		return jobs.Status{}, s.statusErr
+	}
 	status := s.status
 	if status.Fingerprint = s.submitted.Load().Fingerprint; s.fingerprint != "" {
 		status.Fingerprint = s.fingerprint
@@ -54,7 +58,7 @@
 
 func (s *service) Cancel(context.Context, string, string) error {
 	s.cancelled.Store(true)
-	return nil
+	return s.statusErr
 }
 
 func (s *service) Await(ctx context.Context, _, _ string) (jobs.Status, error) {
@@ -178,6 +182,23 @@
 	}
 }
 
+// Guards jobs that were handed in: when the owner cannot be asked about one, nothing is known of its work, so no answer
+// says that it has not run.
+func TestRefusedQuestionSaysNothingOfTheWork(t *testing.T) {
+	w := newWorld(t, &service{statusErr: &jobs.Rejection{Reason: "no owner", RetryAfter: time.Second}})
+	for name, r := range map[string]response{
+		"send":   w.call("POST", "/v1/queues/q/requests", "key", "work", "Idempotency-Key", "k", "Pollenford-Deadline-Ms", "500"),
+		"submit": w.call("POST", "/v1/queues/q/jobs", "key", "work", "Idempotency-Key", "k"),
+		"state":  w.call("GET", "/v1/queues/q/jobs/1", "key", ""),
+		"answer": w.call("GET", "/v1/queues/q/jobs/1/answer", "key", ""),
+		"cancel": w.call("DELETE", "/v1/queues/q/jobs/1", "key", ""),
+	} {
+		if r.status != 503 || r.outcome() != "unknown rejected" || r.header.Get("Retry-After") != "1" {
+			t.Errorf("%s: %d %q %s", name, r.status, r.outcome(), r.body)
+		}
+	}
+}
+
 // Guards the deadline: a request without a key is withdrawn, and is "not run" only if it never began; one with a key goes
 // on, because its client can ask again.
 func TestDeadline(t *testing.T) {
--- a/internal/api/problem.go
+++ b/internal/api/problem.go
@@ -97,6 +97,14 @@
 	return newProblem("unknown", unknown, reasonNoAnswer, jobID, err.Error())
 }
 
+// jobProblem is problem for a question about a job that may have been handed in: whatever refused the question, its work
+// may have run.
+func jobProblem(err error, jobID string) *requests.Problem {
+	p := problem(err, jobID)
+	p.Outcome = pointer(unknown)
+	return p
+}
+
 func rejected(r *jobs.Rejection, jobID string) *requests.Problem {
 	name := "unavailable"
 	switch {
--- a/internal/api/requests.go
+++ b/internal/api/requests.go
@@ -105,7 +105,7 @@
 	}
 	status, err := s.Entry.Status(ctx, a, job.ID)
 	if err != nil {
-		return problem(err, job.ID)
+		return jobProblem(err, job.ID)
 	}
 	if status.Fingerprint != job.Fingerprint {
 		return newProblem("conflict", notRun, reasonKeyReused, job.ID, "the idempotency key belongs to another request")
@@ -273,12 +273,12 @@
 func (s *Requests) Cancel(ctx context.Context, p *requests.CancelPayload) (*requests.Job, error) {
 	admission, err := s.Entry.AdmitQueue(p.Queue, key(p.Authorization))
 	if err != nil {
-		return nil, problem(err, p.ID)
+		return nil, jobProblem(err, p.ID)
 	}
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	if err := s.Entry.Cancel(ctx, &admission, p.ID); err != nil {
-		return nil, problem(err, p.ID)
+		return nil, jobProblem(err, p.ID)
 	}
 	return s.JobEndpoint(ctx, &requests.JobPayload{Queue: p.Queue, ID: p.ID, Authorization: p.Authorization})
 }
@@ -286,13 +286,13 @@
 func (s *Requests) status(ctx context.Context, queue, id string, authorization *string) (jobs.Status, error) {
 	admission, err := s.Entry.AdmitQueue(queue, key(authorization))
 	if err != nil {
-		return jobs.Status{}, problem(err, id)
+		return jobs.Status{}, jobProblem(err, id)
 	}
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	status, err := s.Entry.Status(ctx, &admission, id)
 	if err != nil {
-		return jobs.Status{}, problem(err, id)
+		return jobs.Status{}, jobProblem(err, id)
 	}
 	return status, nil
 }
