--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"crypto/subtle"
-	"encoding/hex"
 	"encoding/json"
 	"io"
 	"mime"
@@ -59,8 +57,7 @@
 
 // operator returns the name of the operator whose token was presented.
 func (a *Admin) operator(authorization *string) (string, error) {
-	sum := sha256.Sum256([]byte(key(authorization)))
-	presented := []byte(hex.EncodeToString(sum[:]))
+	presented := []byte(settings.TokenDigest(key(authorization)))
 	for _, op := range a.Operators() {
 		if subtle.ConstantTimeCompare(presented, []byte(strings.ToLower(op.TokenSHA256))) == 1 {
 			return op.Name, nil
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -91,7 +91,7 @@
 		[]*catalog.Organisation{{Name: "org", Keys: []string{"key"}}}, catalog.HTTPLimits{}))
 	w := &world{t: t, store: &topictest.Store{}}
 	handler := NewHandler(
-		&Requests{Entry: e, Observe: func(string, string, bool, time.Duration) {}, Log: hclog.NewNullLogger()},
+		&Requests{Entry: e, Observe: func(string, string, int, time.Duration) {}, Log: hclog.NewNullLogger()},
 		&Admin{
 			Entry: e, Publisher: &operate.Publisher{Store: w.store, Codec: platform.Codec{}}, Log: hclog.NewNullLogger(),
 			Operators: func() []settings.Operator { return []settings.Operator{{Name: "op", TokenSHA256: operatorDigest}} },
--- a/internal/api/requests.go
+++ b/internal/api/requests.go
@@ -18,10 +18,10 @@
 	"github.com/juju/errors"
 
 	"github.com/pollenford/pollenford/gen/requests"
+	"github.com/pollenford/pollenford/internal/burn"
 	"github.com/pollenford/pollenford/internal/catalog"
 	"github.com/pollenford/pollenford/internal/entry"
 	"github.com/pollenford/pollenford/internal/jobs"
-	"github.com/pollenford/pollenford/internal/wait"
 	"github.com/pollenford/pollenford/internal/workload"
 )
 
@@ -30,8 +30,6 @@
 	answerMargin = 200 * time.Millisecond
 	// cancelTimeout bounds the withdrawal of a job whose client no longer waits; a usual one takes some milliseconds.
 	cancelTimeout = 2 * time.Second
-	// ownerRetry is the pause before another attempt to reach an owner, which takes over within some 100 ms.
-	ownerRetry = 50 * time.Millisecond
 	// idBytes is the length of job IDs before they are written in hexadecimal digits.
 	idBytes = 16
 )
@@ -39,9 +37,8 @@
 // Requests implements the requests service.
 type Requests struct {
 	Entry *entry.Entry
-	// Observe counts a request that has ended towards the service-level objectives. served tells whether it was served,
-	// or not for a reason that its client caused.
-	Observe func(queue, organisation string, served bool, took time.Duration)
+	// Observe counts a request that has ended towards the service-level objectives.
+	Observe burn.Observer
 	Log     hclog.Logger
 }
 
@@ -87,18 +84,10 @@
 }
 
 // handIn submits a job and tells apart a job that another request handed in under the same ID. Between two owners it
-// tries again until the deadline: a planned stop of the owner refuses nobody who can wait.
+// waits until the deadline: a planned stop of the owner refuses nobody who can wait.
 func (s *Requests) handIn(ctx context.Context, a *entry.Admission, job *workload.Job) error {
-	for {
-		err := s.Entry.Submit(ctx, a, job)
-		var rejection *jobs.Rejection
-		if errors.As(err, &rejection) && !rejection.Permanent && !rejection.Overloaded && wait.For(ctx, ownerRetry) {
-			continue
-		}
-		if err != nil {
-			return problem(err, job.ID)
-		}
-		break
+	if err := s.Entry.Submit(ctx, a, job, entry.UntilDone); err != nil {
+		return problem(err, job.ID)
 	}
 	if job.Fingerprint == "" {
 		return nil
@@ -185,7 +174,7 @@
 	}
 	s.Log.Info("request", "method", what, "id", job.ID, "queue", a.Queue.Name, "organisation", a.Organisation, "config", a.Version,
 		"status", status, "ms", took.Milliseconds(), "err", err)
-	s.Observe(a.Queue.Name, a.Organisation, status < http.StatusInternalServerError && status != http.StatusTooManyRequests, took)
+	s.Observe(a.Queue.Name, a.Organisation, status, took)
 }
 
 // admit checks a request and makes a job of it.
--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -1,6 +1,7 @@
 package burn
 
 import (
+	"net/http"
 	"sync"
 	"time"
 )
@@ -52,6 +53,15 @@
 	}
 }
 
+// Observer takes note of a request that was answered with an HTTP status.
+type Observer func(queue, organisation string, status int, took time.Duration)
+
+// Answered is an Observer. A request is good if it was served, or not for a reason that its client caused.
+func (r *Recorder) Answered(queue, organisation string, status int, took time.Duration) {
+	good := status < http.StatusInternalServerError && status != http.StatusTooManyRequests
+	r.Observe(queue, organisation, good, took, time.Now())
+}
+
 // counter returns the counter of an objective. A change of the objective's window starts new counters.
 func (r *Recorder) counter(name string, d Definition) *counter {
 	r.mu.RLock()
--- a/internal/catalog/check.go
+++ b/internal/catalog/check.go
@@ -15,32 +15,33 @@
 	return out
 }
 
-func checkPools(out *finding.List, pools []*Pool) map[string]bool {
-	known := map[string]bool{}
+// names are those of one kind that were seen.
+type names map[string]bool
+
+// add takes a name and finds one that is missing or was seen before.
+func (n names) add(out *finding.List, place, kind, name string) {
+	switch {
+	case name == "":
+		out.Add(place, "the %s has no name", kind)
+	case n[name]:
+		out.Add(place, "another %s has the same name", kind)
+	}
+	n[name] = true
+}
+
+func checkPools(out *finding.List, pools []*Pool) names {
+	known := names{}
 	for _, p := range pools {
-		place := finding.Pointer("pools", p.Name)
-		switch {
-		case p.Name == "":
-			out.Add(place, "the pool has no name")
-		case known[p.Name]:
-			out.Add(place, "another pool has the same name")
-		}
-		known[p.Name] = true
+		known.add(out, finding.Pointer("pools", p.Name), "pool", p.Name)
 	}
 	return known
 }
 
-func checkQueues(out *finding.List, queues []*Queue, pools map[string]bool) {
-	names, addresses := map[string]bool{}, map[string]string{}
+func checkQueues(out *finding.List, queues []*Queue, pools names) {
+	known, addresses := names{}, map[string]string{}
 	for _, q := range queues {
 		at := func(field string) string { return finding.Pointer("queues", q.Name, field) }
-		switch {
-		case q.Name == "":
-			out.Add(at("name"), "the queue has no name")
-		case names[q.Name]:
-			out.Add(at("name"), "another queue has the same name")
-		}
-		names[q.Name] = true
+		known.add(out, at("name"), "queue", q.Name)
 		if !pools[q.Pool] {
 			out.Add(at("pool"), "there is no pool %q", q.Pool)
 		}
@@ -62,16 +63,10 @@
 }
 
 func checkOrganisations(out *finding.List, organisations []*Organisation) {
-	names, keys := map[string]bool{}, map[string]string{}
+	known, keys := names{}, map[string]string{}
 	for _, o := range organisations {
 		at := func(field string) string { return finding.Pointer("organisations", o.Name, field) }
-		switch {
-		case o.Name == "":
-			out.Add(at("name"), "the organisation has no name")
-		case names[o.Name]:
-			out.Add(at("name"), "another organisation has the same name")
-		}
-		names[o.Name] = true
+		known.add(out, at("name"), "organisation", o.Name)
 		if o.Weight < 0 {
 			out.Add(at("weight"), "must not be negative, is %v", o.Weight)
 		}
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"io"
 	"net"
@@ -34,6 +32,8 @@
 	devKey   = "dev-key"
 	// devReady bounds the start of the embedded system.
 	devReady = 15 * time.Second
+	// devGrace is what the users' platform gives a process to end.
+	devGrace = 6 * time.Second
 	// devMachines serve each of the two pools; as many stand by.
 	devMachines = 2
 )
@@ -139,28 +139,11 @@
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			at := func(i int) string { return net.JoinHostPort(ip, strconv.Itoa(firstPort+i)) }
-			_, err := fmt.Fprintf(cmd.OutOrStdout(), `node = %q
-ip = %q
-zone = %q
-port_range = [%d, %d]
-[listen]
-front = %q
-ready = %q
-[bounds]
-grace_s = 6
-hold_max_ms = 10000
-stop_ms = 200
-status_s = 120
-move_s = %v
-maintenance_s = %v
-[platform]
-address = %q
-record_bytes = 262144
-call_bytes = 2097152
-[cloud]
-address = %q
-`, name, ip, zone, firstPort+2, firstPort+7, at(0), at(1), standin.MoveTime.Seconds(), standin.UpkeepTime.Seconds(), platformAddress, platformAddress)
-			return err
+			n := standin.Node{
+				Name: name, Zone: zone, IP: ip, Client: at(0), Ready: at(1), FirstPort: firstPort + 2, LastPort: firstPort + 7,
+				Platform: platformAddress, Grace: devGrace,
+			}
+			return errors.Trace(n.WriteSettings(cmd.OutOrStdout()))
 		},
 	}
 	f := cmd.Flags()
@@ -222,10 +205,9 @@
 }
 
 func devOwnSettings(listen string) *settings.Settings {
-	sum := sha256.Sum256([]byte(devToken))
 	return &settings.Settings{
 		API:       &settings.API{Listen: listen},
-		Operators: []settings.Operator{{Name: "dev", TokenSHA256: hex.EncodeToString(sum[:])}},
+		Operators: []settings.Operator{{Name: "dev", TokenSHA256: settings.TokenDigest(devToken)}},
 	}
 }
 
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -84,9 +84,6 @@
 	var own atomic.Pointer[settings.Settings]
 	own.Store(s.own)
 	recorder := burn.NewRecorder(func() map[string]burn.Definition { return own.Load().Objectives })
-	observe := func(queue, organisation string, served bool, took time.Duration) {
-		recorder.Observe(queue, organisation, served, took, time.Now())
-	}
 	cfg := node.Config{
 		Name: p.Entry, ClientAddress: p.ClientAddress, ReadyAddress: p.ReadyAddress, PeerAddress: p.PeerAddress,
 		MetricsAddress: p.MetricsAddress, ReadyPath: platform.ReadyPath,
@@ -98,7 +95,7 @@
 		Grace: p.Timing.Grace, MaxRecordBytes: p.MaxRecordBytes, MaxCallBytes: p.MaxCallBytes, MemoryMB: p.MemoryMB, Cores: p.Cores, Log: log,
 		Metrics: m.Handler, Scope: m.Scope, LogLinesDropped: linesDropped,
 		Front: func(e *entry.Entry) http.Handler {
-			return &platform.Front{Entry: e, Log: log.Named("front"), Scope: m.Scope, Observe: observe}
+			return &platform.Front{Entry: e, Log: log.Named("front"), Scope: m.Scope, Observe: recorder.Answered}
 		},
 		Reload: func() { reload(s.path, &own, log) },
 	}
@@ -109,7 +106,7 @@
 		cfg.Advice = platform.NewAdvice(p.AdviceAddress)
 	}
 	if s.own.API != nil {
-		cfg.API = ownAPI(cfg, &own, recorder, observe)
+		cfg.API = ownAPI(cfg, &own, recorder)
 	}
 	return cfg
 }
@@ -127,17 +124,14 @@
 	log.Info("settings read again", "operators", len(s.own.Operators), "objectives", len(s.own.Objectives))
 }
 
-func ownAPI(
-	cfg node.Config, own *atomic.Pointer[settings.Settings], recorder *burn.Recorder,
-	observe func(queue, organisation string, served bool, took time.Duration),
-) *node.API {
+func ownAPI(cfg node.Config, own *atomic.Pointer[settings.Settings], recorder *burn.Recorder) *node.API {
 	log := cfg.Log.Named("api")
 	configured := own.Load().API
 	return &node.API{
 		Address: configured.Listen,
 		Serve:   func(s *http.Server, l net.Listener) error { return api.Serve(s, l, configured.TLS, log) },
 		Handler: func(e *entry.Entry, notReady func() string) http.Handler {
-			requests := &api.Requests{Entry: e, Observe: observe, Log: log}
+			requests := &api.Requests{Entry: e, Observe: recorder.Answered, Log: log}
 			admin := &api.Admin{
 				Entry: e, Publisher: &operate.Publisher{Store: cfg.Store, Codec: cfg.Codec}, Log: log,
 				Operators: func() []settings.Operator { return own.Load().Operators },
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -28,9 +29,11 @@
 const (
 	// ownerRetry is the pause before the owner is looked for again, a fraction of a usual hand-over.
 	ownerRetry = 20 * time.Millisecond
-	// ownerWait is how long a call waits for an owner before it is rejected: a quarter of the shortest latency objective
+	// OwnerWait is how long a call waits for an owner before it is rejected: a quarter of the shortest latency objective
 	// in the users' deployments (600 ms), and longer than a hand-over takes.
-	ownerWait = 150 * time.Millisecond
+	OwnerWait = 150 * time.Millisecond
+	// UntilDone makes a call wait for an owner until its context ends.
+	UntilDone time.Duration = math.MaxInt64
 	// retryAfter is when a client should return while there is no owner: half of the time in which a silent owner is
 	// replaced.
 	retryAfter = time.Second
@@ -111,12 +114,12 @@
 	return nil
 }
 
-// Submit hands a job in for the queue and the organisation of an admission.
-func (e *Entry) Submit(ctx context.Context, a *Admission, job *workload.Job) error {
+// Submit hands a job in for the queue and the organisation of an admission. patience is how long it waits for an owner.
+func (e *Entry) Submit(ctx context.Context, a *Admission, job *workload.Job, patience time.Duration) error {
 	if err := job.Check(); err != nil {
 		return &jobs.Rejection{Reason: err.Error(), Permanent: true}
 	}
-	return e.withOwner(ctx, a, changing, func(s jobs.Service) error {
+	return e.withOwner(ctx, a, changing, patience, func(s jobs.Service) error {
 		job.Queue, job.Organisation = a.Queue.Name, a.Organisation
 		return s.Submit(ctx, job)
 	})
@@ -124,7 +127,7 @@
 
 // Status returns the state of a job.
 func (e *Entry) Status(ctx context.Context, a *Admission, id string) (status jobs.Status, err error) {
-	err = e.withOwner(ctx, a, reading, func(s jobs.Service) (err error) {
+	err = e.withOwner(ctx, a, reading, OwnerWait, func(s jobs.Service) (err error) {
 		status, err = s.Status(ctx, id, a.Organisation)
 		return err
 	})
@@ -133,12 +136,12 @@
 
 // Cancel cancels a job.
 func (e *Entry) Cancel(ctx context.Context, a *Admission, id string) error {
-	return e.withOwner(ctx, a, changing, func(s jobs.Service) error { return s.Cancel(ctx, id, a.Organisation) })
+	return e.withOwner(ctx, a, changing, OwnerWait, func(s jobs.Service) error { return s.Cancel(ctx, id, a.Organisation) })
 }
 
 // Pending returns the number of jobs of the admission's queue that have not begun.
 func (e *Entry) Pending(ctx context.Context, a *Admission) (n int, err error) {
-	err = e.withOwner(ctx, a, reading, func(s jobs.Service) (err error) {
+	err = e.withOwner(ctx, a, reading, OwnerWait, func(s jobs.Service) (err error) {
 		n, err = s.Pending(ctx, a.Queue.Name)
 		return err
 	})
@@ -146,23 +149,17 @@
 }
 
 // Await returns the state of a job once it has ended. It goes on across changes of the owner until ctx ends.
-func (e *Entry) Await(ctx context.Context, a *Admission, id string) (jobs.Status, error) {
-	for {
-		var status jobs.Status
-		err := e.withOwner(ctx, a, reading, func(s jobs.Service) (err error) {
-			status, err = s.Await(ctx, id, a.Organisation)
-			return err
-		})
-		var rejection *jobs.Rejection
-		if !errors.As(err, &rejection) || !wait.For(ctx, ownerWait) {
-			return status, err
-		}
-	}
+func (e *Entry) Await(ctx context.Context, a *Admission, id string) (status jobs.Status, err error) {
+	err = e.withOwner(ctx, a, reading, UntilDone, func(s jobs.Service) (err error) {
+		status, err = s.Await(ctx, id, a.Organisation)
+		return err
+	})
+	return status, err
 }
 
 // Fleet returns the state of workers and waves.
 func (e *Entry) Fleet(ctx context.Context) (fleet jobs.Fleet, err error) {
-	err = e.withOwner(ctx, nil, reading, func(s jobs.Service) (err error) {
+	err = e.withOwner(ctx, nil, reading, OwnerWait, func(s jobs.Service) (err error) {
 		fleet, err = s.Fleet(ctx)
 		return err
 	})
@@ -178,11 +175,11 @@
 )
 
 // withOwner calls the owner. All calls are idempotent, so one whose connection broke is made again. Without an owner a
-// call is rejected soon; one that may have changed something goes on until its outcome is known or its time is over,
+// call is rejected when its patience is over; one that may have changed something goes on until its outcome is known or its time is over,
 // because only then a rejection would be true. A request that was admitted by an older configuration than the owner's is
 // admitted again.
-func (e *Entry) withOwner(ctx context.Context, a *Admission, kind effect, call func(jobs.Service) error) error {
-	giveUp := time.Now().Add(ownerWait)
+func (e *Entry) withOwner(ctx context.Context, a *Admission, kind effect, patience time.Duration, call func(jobs.Service) error) error {
+	began := time.Now()
 	uncertain := false
 	var last error = errors.New("there is no owner")
 	for {
@@ -209,7 +206,7 @@
 			}
 			last = err
 		}
-		late := time.Now().After(giveUp) && !uncertain
+		late := time.Since(began) > patience && !uncertain
 		if late || !wait.For(ctx, ownerRetry) {
 			if uncertain {
 				return errors.Annotate(jobs.ErrOutcomeUnknown, last.Error())
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -72,7 +72,7 @@
 	for range calls {
 		all.Go(func() {
 			var rejection *jobs.Rejection
-			if err := e.Submit(ctx, admitted(), oneTask("a")); !errors.As(err, &rejection) || rejection.RetryAfter <= 0 {
+			if err := e.Submit(ctx, admitted(), oneTask("a"), OwnerWait); !errors.As(err, &rejection) || rejection.RetryAfter <= 0 {
 				t.Errorf("%v, want a rejection with a time to return", err)
 			}
 		})
@@ -96,7 +96,7 @@
 		return nil
 	}}
 	e := newEntry(func() jobs.Service { return s })
-	if err := e.Submit(t.Context(), admitted(), oneTask("a")); err != nil {
+	if err := e.Submit(t.Context(), admitted(), oneTask("a"), OwnerWait); err != nil {
 		t.Errorf("%v, want success", err)
 	}
 	next = 0
@@ -106,7 +106,7 @@
 	}
 	ctx, stop := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer stop()
-	if err := e.Submit(ctx, admitted(), oneTask("a")); !errors.Is(err, jobs.ErrOutcomeUnknown) {
+	if err := e.Submit(ctx, admitted(), oneTask("a"), OwnerWait); !errors.Is(err, jobs.ErrOutcomeUnknown) {
 		t.Errorf("%v, want that the outcome is not known", err)
 	}
 }
@@ -151,7 +151,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if err := e.Submit(t.Context(), &a, oneTask("a")); !errors.Is(err, c.want) {
+			if err := e.Submit(t.Context(), &a, oneTask("a"), OwnerWait); !errors.Is(err, c.want) {
 				t.Errorf("%v, want %v", err, c.want)
 			}
 		})
@@ -161,7 +161,7 @@
 // Guards clients that wait for a job across a change of the owner: they wait on until the next owner answers.
 func TestAwaitSurvivesAChangeOfTheOwner(t *testing.T) {
 	answers := []error{jobs.ErrOutcomeUnknown, &jobs.Rejection{Reason: "not the owner"}, &jobs.Rejection{Reason: "not the owner"}, nil}
-	gone := time.Now().Add(2 * ownerWait)
+	gone := time.Now().Add(2 * OwnerWait)
 	s := &service{submit: func() error {
 		if time.Now().Before(gone) || len(answers) == 1 {
 			return answers[0]
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -110,9 +110,8 @@
 
 // Current returns the owner as last read, and whether one is known.
 func (e *Elector) Current() (Owner, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.current, e.known && !e.current.Released
+	owner, known := e.last()
+	return owner, known && !owner.Released
 }
 
 // Changed returns a channel that is closed when the owner changes.
@@ -292,9 +291,8 @@
 // campaign tries to become the owner and, if it succeeds, serves until the term ends.
 func (e *Elector) campaign(ctx context.Context) {
 	sent := bootTime()
-	e.mu.Lock()
-	gone := !e.known || e.current.Released || e.current.Fence == e.gone.Load() || e.current.Name == e.Self.Name
-	e.mu.Unlock()
+	before, known := e.last()
+	gone := !known || before.Released || before.Fence == e.gone.Load() || before.Name == e.Self.Name
 	o := e.Self
 	o.Fence = e.end + 1
 	if err := e.write(ctx, o); err != nil {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -227,9 +227,6 @@
 	return c, nil
 }
 
-// Close ends the connection. Calls without an answer return jobs.ErrOutcomeUnknown.
-func (c *Client) Close() { c.stop() }
-
 func (c *Client) ping(ctx context.Context) {
 	ticker := time.NewTicker(pingEvery)
 	defer ticker.Stop()
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -49,7 +49,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(client.Close)
 	return client
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,7 +115,7 @@
 		Store: cfg.Store, Log: cfg.Log.Named("leader"), Serve: n.serveAsOwner,
 		Self:     leader.Owner{Name: cfg.Name, Incarnation: uuid.NewString(), Address: cfg.PeerAddress},
 		Weakness: weakness(cfg.Cores),
-		Eligible: func() bool { return !n.stopping.Load() && n.entry.Catalog() != nil },
+		Eligible: func() bool { return n.entry.Catalog() != nil },
 	}
 	n.entry = &entry.Entry{Elector: n.elector, Local: n.local, Decode: n.decodeCatalog, Log: cfg.Log.Named("entry")}
 
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pollenford/pollenford/internal/catalog"
@@ -207,12 +208,7 @@
 		}
 		view.workers = append(view.workers, w)
 	}
-	slices.SortFunc(view.workers, func(a, b *worker) int {
-		if a.info.ID < b.info.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(view.workers, func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
 	view.candidates = make([]schedule.Candidate, len(view.workers))
 	for i, w := range view.workers {
 		view.candidates[i] = schedule.Candidate{
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -49,20 +50,10 @@
 	}
 	list := make([]pool.State, 0, len(states))
 	for _, s := range states {
-		slices.SortFunc(s.Empty, func(a, b pool.Instance) int {
-			if a.ID < b.ID {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(s.Empty, func(a, b pool.Instance) int { return strings.Compare(a.ID, b.ID) })
 		list = append(list, *s)
 	}
-	slices.SortFunc(list, func(a, b pool.State) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b pool.State) int { return strings.Compare(a.Name, b.Name) })
 	for _, m := range pool.Plan(list, pool.DefaultPolicy()) {
 		if !o.fleet.calls.Take() {
 			return
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -87,24 +87,22 @@
 	o.afterCommit(effect)
 }
 
-// find returns a job that an organisation may see, or nil.
-func (o *Owner) find(id, organisation string) *job {
-	j := o.jobs[id]
-	if j == nil || j.progress.Organisation != "" && j.progress.Organisation != organisation {
-		return nil
-	}
-	return j
+// askJob is ask for a job that an organisation may see.
+func (o *Owner) askJob(ctx context.Context, id, organisation string, call func(j *job, r reply)) error {
+	return o.ask(ctx, func(r reply) {
+		j := o.jobs[id]
+		if j == nil || j.progress.Organisation != "" && j.progress.Organisation != organisation {
+			r.give(jobs.ErrNoSuchJob)
+			return
+		}
+		call(j, r)
+	})
 }
 
 // Status implements jobs.Service. It tells what is recorded, not what is being decided.
 func (o *Owner) Status(ctx context.Context, id, organisation string) (jobs.Status, error) {
 	var status jobs.Status
-	err := o.ask(ctx, func(r reply) {
-		j := o.find(id, organisation)
-		if j == nil {
-			r.give(jobs.ErrNoSuchJob)
-			return
-		}
+	err := o.askJob(ctx, id, organisation, func(j *job, r reply) {
 		tell := func() { status = j.recorded; r.give(nil) }
 		if j.fresh {
 			o.afterCommit(tell)
@@ -120,12 +118,7 @@
 
 // Cancel implements jobs.Service.
 func (o *Owner) Cancel(ctx context.Context, id, organisation string) error {
-	return o.ask(ctx, func(r reply) {
-		j := o.find(id, organisation)
-		if j == nil {
-			r.give(jobs.ErrNoSuchJob)
-			return
-		}
+	return o.askJob(ctx, id, organisation, func(j *job, r reply) {
 		if j.progress.Cancel() {
 			o.metrics.cancelled.Inc(1)
 			o.log.Info("job cancelled", "job", id)
@@ -138,12 +131,7 @@
 // Await implements jobs.Service.
 func (o *Owner) Await(ctx context.Context, id, organisation string) (jobs.Status, error) {
 	var status jobs.Status
-	err := o.ask(ctx, func(r reply) {
-		j := o.find(id, organisation)
-		if j == nil {
-			r.give(jobs.ErrNoSuchJob)
-			return
-		}
+	err := o.askJob(ctx, id, organisation, func(j *job, r reply) {
 		j.waiters = append(j.waiters, func() { status = j.recorded; r.give(nil) })
 		j.tellWaiters()
 	})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"maps"
@@ -45,6 +46,12 @@
 	TokenSHA256 string `json:"token_sha256"`
 }
 
+// TokenDigest returns the hexadecimal SHA-256 of an operator's token.
+func TokenDigest(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
 // TLS secures the API for clients and operators. The files are read again when they change.
 type TLS struct {
 	CertFile string `json:"cert_file"`
--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -1,6 +1,7 @@
 package scenarios
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
@@ -15,8 +16,14 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/pollenford/pollenford/internal/porttest"
+	"github.com/pollenford/pollenford/internal/settings"
+	"github.com/pollenford/pollenford/platform"
+	"github.com/pollenford/pollenford/platform/standin"
 )
 
+// scenarioGrace lets the longest requests of the load profiles end.
+const scenarioGrace = 15 * time.Second
+
 // stopDeadline bounds a graceful stop in a scenario.
 const stopDeadline = 60 * time.Second
 
@@ -79,24 +86,31 @@
 
 // spawn starts a process with additional variables in its environment.
 func spawn(ts *testscript.TestScript, name string, env []string, args ...string) {
-	path, err := exec.LookPath("pollenford")
-	if err != nil {
-		path = filepath.Join(filepath.SplitList(ts.Getenv("PATH"))[0], "pollenford")
-	}
-	log, err := os.OpenFile(ts.MkAbs(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	cmd, err := startProcess(ts.Getenv("WORK"), name, env, args...)
 	ts.Check(err)
-	defer log.Close()
-	cmd := exec.Command(path, args...)
-	cmd.Env = append(os.Environ(), env...)
-	cmd.Dir = ts.Getenv("WORK")
-	cmd.Stdout, cmd.Stderr = log, log
-	ts.Check(cmd.Start())
 	b := benchOf(ts)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.processes[name] = cmd
 }
 
+// startProcess starts "pollenford ARGS" in a directory; its output goes to NAME.log there.
+func startProcess(dir, name string, env []string, args ...string) (*exec.Cmd, error) {
+	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	cmd := exec.Command("pollenford", args...)
+	cmd.Dir, cmd.Stdout, cmd.Stderr, cmd.Env = dir, log, log, append(os.Environ(), env...)
+	return cmd, cmd.Start()
+}
+
+// settingsOf is the environment of a node whose settings were written in a directory.
+func settingsOf(dir, name string) []string {
+	return []string{platform.SettingsVariable + "=" + filepath.Join(dir, name+".toml")}
+}
+
 func cmdSignal(signal syscall.Signal) func(ts *testscript.TestScript, neg bool, args []string) {
 	return func(ts *testscript.TestScript, _ bool, args []string) {
 		for _, name := range args {
@@ -151,34 +165,20 @@
 
 // writeNode writes the settings of a node to PATH.toml and PATH.json. Its peers and scrapes use the port first and the
 // next one.
-func writeNode(path, name, platform, api, client, ready string, first int) error {
-	text := fmt.Sprintf(`node = %q
-ip = "127.0.0.1"
-zone = "az-1"
-port_range = [%d, %d]
-[listen]
-front = %q
-ready = %q
-[bounds]
-grace_s = 15
-hold_max_ms = 10000
-stop_ms = 200
-status_s = 120
-move_s = 0.3
-maintenance_s = 0.5
-[platform]
-address = %q
-record_bytes = 262144
-call_bytes = 2097152
-[cloud]
-address = %q
-`, name, first, first+1, client, ready, platform, platform)
-	if err := os.WriteFile(path+".toml", []byte(text), 0o600); err != nil {
+func writeNode(path, name, platformAddress, api, client, ready string, first int) error {
+	var text bytes.Buffer
+	n := standin.Node{
+		Name: name, Zone: "az-1", IP: "127.0.0.1", Client: client, Ready: ready, FirstPort: first, LastPort: first + 1,
+		Platform: platformAddress, Grace: scenarioGrace,
+	}
+	if err := n.WriteSettings(&text); err != nil {
+		return err
+	}
+	if err := os.WriteFile(path+".toml", text.Bytes(), 0o600); err != nil {
 		return err
 	}
-	// The token is "operator-token".
 	own := fmt.Sprintf(`{"api":{"listen":%q},"log":{"level":"debug"},"operators":[{"name":"scenario","token_sha256":%q}],
-"objectives":{"walk-in":{"queue":"walk-in","target":0.9,"latency_ms":2000,"window_hours":24}}}`, api, operatorDigest)
+"objectives":{"walk-in":{"queue":"walk-in","target":0.9,"latency_ms":2000,"window_hours":24}}}`, api, settings.TokenDigest("operator-token"))
 	return os.WriteFile(path+".json", []byte(own), 0o600)
 }
 
@@ -213,16 +213,13 @@
 // cmdStart starts nodes whose settings were written, and waits until they are ready: start NAME...
 func cmdStart(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
-		spawn(ts, name, []string{"POLLENFORD_SETTINGS=" + ts.MkAbs(name+".toml")}, "node", "--settings", name+".json")
+		spawn(ts, name, settingsOf(ts.Getenv("WORK"), name), "node", "--settings", name+".json")
 	}
 	for _, name := range args {
 		cmdAwait(ts, false, []string{"http", "200", "GET", "http://" + ts.Getenv(name+"_READY") + "/readiness"})
 	}
 }
 
-// operatorDigest is the SHA-256 of "operator-token".
-const operatorDigest = "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e"
-
 // cmdAwait repeats a command until it succeeds: await [SECONDS] COMMAND ARGS. With "!" it must fail.
 func cmdAwait(ts *testscript.TestScript, neg bool, args []string) {
 	limit := 30 * time.Second
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -147,18 +147,14 @@
 
 // start starts a process that ends with the test.
 func (s *soak) start(name string, env []string, args ...string) *exec.Cmd {
-	log, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	cmd, err := startProcess(s.dir, name, env, args...)
 	s.check(err)
-	defer log.Close()
-	cmd := exec.Command("pollenford", args...)
-	cmd.Dir, cmd.Stdout, cmd.Stderr, cmd.Env = s.dir, log, log, append(os.Environ(), env...)
-	s.check(cmd.Start())
 	s.t.Cleanup(func() { s.end(cmd, syscall.SIGKILL) })
 	return cmd
 }
 
 func (s *soak) startNode(n *soakNode) {
-	n.process = s.start(n.name, []string{"POLLENFORD_SETTINGS=" + filepath.Join(s.dir, n.name+".toml")}, "node", "--settings", n.name+".json")
+	n.process = s.start(n.name, settingsOf(s.dir, n.name), "node", "--settings", n.name+".json")
 }
 
 // end signals a process and waits for its end.
