Record an eviction before its stop is sent

Cause: an owner evicted a task, was killed within 0.4 s, and its successor had a heartbeat response in which that run still worked. Ruled out: asking the worker again before an eviction, because a stop that is on its way is in no worker's answer.

Change: the decision is part of the job's recorded progress, in a field that older builds skip, and the stop is sent after the record is acknowledged. A successor treats such a run as stopping and sends its stop again.

--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -344,8 +344,7 @@
 				o.blockedEvictions[worker.info.Pool]++
 				continue
 			}
-			o.log.Info("evicting long-running task", "task", p.taskName, "worker", worker.info.ID)
-			o.stopRun(worker, p)
+			o.evict(worker, p)
 		}
 	}
 	return !blocked && now.Sub(inst.cordonedAt) > drainTimeout
--- a/internal/owner/fleet_test.go
+++ b/internal/owner/fleet_test.go
@@ -11,6 +11,7 @@
 	"github.com/pollenford/pollenford/internal/catalog"
 	"github.com/pollenford/pollenford/internal/instances"
 	"github.com/pollenford/pollenford/internal/workers"
+	"github.com/pollenford/pollenford/internal/workers/workertest"
 	"github.com/pollenford/pollenford/internal/workload"
 )
 
@@ -51,6 +52,18 @@
 	c.list = append(c.list, inst)
 }
 
+// workerOf returns the ID of the worker on an instance.
+func (c *fakeControl) workerOf(instance string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.list {
+		if c.list[i].ID == instance {
+			return c.list[i].Worker
+		}
+	}
+	return ""
+}
+
 // startWorker registers a new worker on an instance and returns its ID.
 func (c *fakeControl) startWorker(instance string) string {
 	c.incarnations++
@@ -202,6 +215,45 @@
 	return n
 }
 
+// Guards the availability budget across a change of owner: a successor must count a run whose stop its predecessor has
+// requested, although its first heartbeat still reports the run at work. It once evicted a second task of the step
+// (sonda-sched-grown, own day two-takeovers, seed 175324574770).
+func TestSuccessorCountsEvictionsInFlight(t *testing.T) {
+	h := newHarness(t)
+	c := h.withControl()
+	for _, id := range []string{"i1", "i2", "i3", "i4"} {
+		c.add(id, false)
+	}
+	first := h.startOwner(true)
+	h.submit(first, longRunningJob("a", 3, 1))
+	h.await("the tasks run", func() bool { return h.runningTasks("a", 3) == 3 })
+	var hosts []*workertest.Worker
+	var ids []string
+	for _, id := range []string{"i1", "i2", "i3", "i4"} {
+		if w := h.fleet.At("address-of-" + c.workerOf(id)); len(w.Running()) > 0 {
+			hosts, ids = append(hosts, w), append(ids, id)
+		}
+	}
+	hosts[0].HoldStops()
+	hosts[1].HoldStops()
+	h.startWave(1, ids[0])
+	h.await("a stop is on its way", func() bool { return hosts[0].HeldStops() > 0 })
+	first.stop()
+
+	// The successor begins with another wave.
+	h.store.Put("operator", "wave", encodeJSON(t, instances.Wave{Number: 2, Instances: ids[1:2], DeadlineS: 20, MaxConcurrent: 1}))
+	stopsBefore := hosts[0].HeldStops()
+	h.startOwner(true)
+	h.await("the successor stops a run", func() bool { return hosts[0].HeldStops() > stopsBefore || hosts[1].HeldStops() > 0 })
+	if n := hosts[1].HeldStops(); n > 0 {
+		t.Errorf("%d stops of a second task, while the stop of the first is on its way", n)
+	}
+	hosts[0].ReleaseStops()
+	hosts[1].ReleaseStops()
+	h.await("the second wave is completed", func() bool { return slices.Contains(c.ordered(), "upkeep "+ids[1]) })
+	h.await("all tasks run", func() bool { return h.runningTasks("a", 3) == 3 })
+}
+
 // Guards against a wave taking down more than MaxConcurrent instances at a time.
 func TestWaveStaysWithinMaxConcurrent(t *testing.T) {
 	h := newHarness(t)
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -69,6 +69,7 @@
 	}
 	o.reserve(w, &placement{
 		job: j, ref: ref, taskName: workload.TaskName(j.spec.ID, ref), run: t.Run, adopted: true, requestedAt: o.recoveredAt,
+		stopping: j.progress.IsEvicted(ref),
 	})
 }
 
@@ -169,6 +170,18 @@
 	return false
 }
 
+// evict stops a run of a job that goes on. The stop is requested only after the decision is recorded: a successor must
+// not count the run as available while the stop may still reach the worker.
+func (o *Owner) evict(w *worker, p *placement) {
+	if !p.job.progress.Evict(p.ref) {
+		return
+	}
+	o.log.Info("evicting long-running task", "task", p.taskName, "run", p.run, "worker", w.info.ID)
+	p.stopping = true
+	o.markDirty(p.job)
+	o.afterCommit(func() { o.stopRun(w, p) })
+}
+
 // stopRun stops a run and retries until the worker confirms. After that the run can no longer start on this worker.
 func (o *Owner) stopRun(w *worker, p *placement) {
 	p.stopping = true
--- a/internal/workers/workertest/fleet.go
+++ b/internal/workers/workertest/fleet.go
@@ -56,6 +56,8 @@
 	highestRun   map[string]int
 	unresponsive bool
 	startDelay   time.Duration // starts are applied after this delay, without a response
+	holdsStops   bool
+	heldStops    []func()
 	startError   error
 	runEnded     chan struct{} // closed when a run ends
 }
@@ -97,6 +99,13 @@
 	delete(f.workers, address)
 }
 
+// At returns the worker at an address, or nil.
+func (f *Fleet) At(address string) *Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[address]
+}
+
 // Running returns the names of the tasks running on any worker.
 func (f *Fleet) Running() map[string]bool {
 	f.mu.Lock()
@@ -132,6 +141,31 @@
 	w.startDelay = delay
 }
 
+// HoldStops makes the worker keep stops back and return no response, until ReleaseStops.
+func (w *Worker) HoldStops() {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.holdsStops = true
+}
+
+// HeldStops returns how many stops the worker keeps back.
+func (w *Worker) HeldStops() int {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return len(w.heldStops)
+}
+
+// ReleaseStops applies the stops that were kept back and restores normal operation.
+func (w *Worker) ReleaseStops() {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.advance()
+	for _, apply := range w.heldStops {
+		apply()
+	}
+	w.holdsStops, w.heldStops = false, nil
+}
+
 // RefuseStarts makes the worker refuse starts with the given error; nil restores normal operation.
 func (w *Worker) RefuseStarts(err error) {
 	w.fleet.mu.Lock()
@@ -279,18 +313,30 @@
 }
 
 // Stop implements workers.Client.
-func (f *Fleet) Stop(_ context.Context, to workers.Target, task string, number int) error {
+func (f *Fleet) Stop(ctx context.Context, to workers.Target, task string, number int) error {
 	f.mu.Lock()
+	w := f.workers[to.Address]
+	if w != nil && w.holdsStops {
+		w.fence = max(w.fence, to.Fence)
+		w.heldStops = append(w.heldStops, func() { w.stop(task, number) })
+		f.mu.Unlock()
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	defer f.mu.Unlock()
 	w, err := f.lookUp(to)
 	if err != nil {
 		return err
 	}
+	w.stop(task, number)
+	return nil
+}
+
+func (w *Worker) stop(task string, number int) {
 	w.highestRun[task] = max(w.highestRun[task], number)
 	if r := w.runs[task]; r != nil && r.number <= number {
 		w.endRun(task, r, workers.Stopped)
 	}
-	return nil
 }
 
 // Heartbeat implements workers.Client.
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -197,10 +198,20 @@
 	Checkpoint string
 }
 
+// Eviction identifies a run that is to be stopped although its job goes on.
+type Eviction struct {
+	Step  int `cbor:"1,keyasint"`
+	Index int `cbor:"2,keyasint"`
+	Run   int `cbor:"3,keyasint"`
+}
+
 // Occurrence is the progress of one pass through the steps.
 type Occurrence struct {
 	Number int      `cbor:"1,keyasint"`
 	Tasks  [][]Task `cbor:"2,keyasint"`
+	// Evictions lists the placed runs that the system has decided to stop. They are recorded before the stop is requested,
+	// so that a successor does not count such a run as available while the stop may still take effect.
+	Evictions []Eviction `cbor:"3,keyasint,omitempty"`
 
 	unfinished []int // number of unfinished tasks by step
 }
@@ -336,6 +347,28 @@
 	return nil
 }
 
+// Evict records the decision to stop the run of a placed task and reports whether it was made now.
+func (p *Progress) Evict(r TaskRef) bool {
+	t := p.Task(r)
+	if t == nil || t.Phase != Placed || p.IsEvicted(r) {
+		return false
+	}
+	o := p.Occurrence(r.Occurrence)
+	o.Evictions = append(o.Evictions, Eviction{Step: r.Step, Index: r.Index, Run: t.Run})
+	return true
+}
+
+// IsEvicted reports whether the current run of a task is to be stopped.
+func (p *Progress) IsEvicted(r TaskRef) bool {
+	t := p.Task(r)
+	return t != nil && slices.Contains(p.Occurrence(r.Occurrence).Evictions, Eviction{r.Step, r.Index, t.Run})
+}
+
+// clearEviction forgets the eviction of a task whose run has ended.
+func (o *Occurrence) clearEviction(r TaskRef) {
+	o.Evictions = slices.DeleteFunc(o.Evictions, func(e Eviction) bool { return e.Step == r.Step && e.Index == r.Index })
+}
+
 // RunResult is how a run ended.
 type RunResult uint8
 
@@ -369,6 +402,7 @@
 		t.Checkpoint = checkpoint
 	}
 	t.Phase = Waiting
+	p.Occurrence(r.Occurrence).clearEviction(r)
 	if p.State != Active {
 		p.prune()
 		return Released
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -62,7 +62,14 @@
 						t.Fatalf("the repeated end of %v led to %v", old, transition)
 					}
 				}
-			case 2, 3, 4:
+			case 2: // an eviction is decided
+				for ref := range running {
+					if now := p.Evict(ref); now && p.State != Active && p.Task(ref) == nil || !p.IsEvicted(ref) {
+						t.Fatalf("the eviction of %v was not recorded", ref)
+					}
+					break
+				}
+			case 3, 4:
 				if p.State == Active {
 					place(t, j, p, running, done, lastRun)
 				}
@@ -121,6 +128,9 @@
 				if err := p.Place(ref, run+1, "w", 1); err == nil {
 					t.Fatalf("task %v was placed twice", ref)
 				}
+				if p.IsEvicted(ref) {
+					t.Fatalf("run %d of %v counts as evicted from its start", run, ref)
+				}
 				lastRun[ref] = run
 				running[ref] = placed{ref, run}
 			}
