Hold the stop of an evicted run back until the eviction is recorded

Change: a decided eviction and a stop that may be sent are two states of a run; both count as unavailable. Test: owner.TestEvictionIsRecordedBeforeItsStop, seen to fail without the change.

--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -337,7 +337,7 @@
 		}
 		if p.step().LongRunning {
 			blocked = true
-			if p.stopping || !o.budgetAllowsStop(p) {
+			if p.leaving() || !o.budgetAllowsStop(p) {
 				continue
 			}
 			if o.countEligibleWorkers(p.job, p.ref.Occurrence, p.ref.Step) == 0 {
@@ -359,7 +359,7 @@
 	return o.countUnavailable(p.job, p.ref.Occurrence, p.ref.Step) < budget
 }
 
-// countUnavailable counts the tasks of a step that are stopping or not known to run at full speed.
+// countUnavailable counts the tasks of a step that are to be stopped or not known to run at full speed.
 func (o *Owner) countUnavailable(j *job, occurrence, step int) int {
 	current := j.progress.Occurrence(occurrence)
 	if current == nil {
@@ -374,7 +374,7 @@
 			n++
 			continue
 		}
-		if p := w.runs[name]; p == nil || !p.reported || p.speedPercent < 100 || p.stopping {
+		if p := w.runs[name]; p == nil || !p.reported || p.speedPercent < 100 || p.leaving() {
 			n++
 		}
 	}
--- a/internal/owner/fleet_test.go
+++ b/internal/owner/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/pollenford/pollenford/internal/catalog"
 	"github.com/pollenford/pollenford/internal/instances"
+	"github.com/pollenford/pollenford/internal/topic/topictest"
 	"github.com/pollenford/pollenford/internal/workers"
 	"github.com/pollenford/pollenford/internal/workers/workertest"
 	"github.com/pollenford/pollenford/internal/workload"
@@ -254,6 +255,32 @@
 	h.await("all tasks run", func() bool { return h.runningTasks("a", 3) == 3 })
 }
 
+// Guards the availability budget of an owner that is cut from the store: it may have been replaced, so it must not stop
+// a run before the eviction is recorded. Its next heartbeat once sent the stop (ligeira-nordeste trouble-1).
+func TestEvictionIsRecordedBeforeItsStop(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1", 0)
+	o := h.startOwner(true)
+	h.submit(o, longRunningJob("a", 1, 1))
+	h.await("the task runs", func() bool { return h.runningTasks("a", 1) == 1 })
+	h.store.SetFaults(topictest.Faults{Down: true})
+	stopSent := make(chan bool, 1)
+	var p *placement
+	o.post(func() {
+		w := o.workers["w1"]
+		p = w.runs["a.0.0.0"]
+		o.evict(w, p)
+		report := workers.HeartbeatResponse{Running: []workers.Run{{Task: p.taskName, Number: p.run, SpeedPercent: 100}}}
+		o.reconcileRuns(w, report, time.Now())
+		stopSent <- p.stopSent
+	})
+	if <-stopSent {
+		t.Error("a stop was sent although its eviction is not recorded")
+	}
+	h.store.SetFaults(topictest.Faults{})
+	h.await("the task runs again", func() bool { return len(h.startsOf("a.0.0.0")) == 2 })
+}
+
 // Guards against a wave taking down more than MaxConcurrent instances at a time.
 func TestWaveStaysWithinMaxConcurrent(t *testing.T) {
 	h := newHarness(t)
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -96,7 +96,7 @@
 	if w.runs[p.taskName] != p {
 		return // the worker has restarted since
 	}
-	if p.stopping || !w.sessionEstablished || !o.leading() {
+	if p.leaving() || !w.sessionEstablished || !o.leading() {
 		o.loseRun(w, p, workload.NeverStarted, "start not requested")
 		return
 	}
@@ -177,7 +177,7 @@
 		return
 	}
 	o.log.Info("evicting long-running task", "task", p.taskName, "run", p.run, "worker", w.info.ID)
-	p.stopping = true
+	p.evicted = true
 	o.markDirty(p.job)
 	o.afterCommit(func() { o.stopRun(w, p) })
 }
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -57,12 +57,17 @@
 	adopted      bool // placed by an earlier owner
 	reported     bool // listed as running in a heartbeat response
 	speedPercent int
-	stopping     bool
-	stopSent     bool
-	stoppedAt    time.Time // when the worker confirmed the stop
-	requestedAt  time.Time
+	// evicted reports that a stop was decided; it may be sent once the decision is recorded.
+	evicted     bool
+	stopping    bool // a stop may be sent, or was sent
+	stopSent    bool
+	stoppedAt   time.Time // when the worker confirmed the stop
+	requestedAt time.Time
 }
 
+// leaving reports whether the run was decided to be stopped.
+func (p *placement) leaving() bool { return p.evicted || p.stopping }
+
 // worker is the owner's state of one worker.
 type worker struct {
 	info workers.Info
@@ -314,7 +319,7 @@
 // because maintenance of another instance may wait until the task runs at full speed.
 func (w *worker) pollTimeout() time.Duration {
 	for _, p := range w.runs {
-		if p.step().LongRunning && !p.stopping && (!p.reported || p.speedPercent < 100) {
+		if p.step().LongRunning && !p.leaving() && (!p.reported || p.speedPercent < 100) {
 			return startupPollTimeout
 		}
 	}
