Record a move before its order, and send no order once a successor may exist

Cause, found by looking for the operators' fault of two processes around a hand-over: moves of idle instances were ordered without a record and repeated for up to 6 s after the last renewal of the owner's own record, while a successor takes over after 2 s and knew nothing of them. A late order would end the tasks that the successor had placed there. Change: an ordered move is a record until its outcome is known; a successor keeps the worker closed and repeats the order, which fences the first; orders to the instance service pause once the term is as old as its replacement takes. Tests, each seen to fail without its part: owner.TestMoveIsRecordedBeforeItsOrder, TestPausedOwnerSendsNoOrder, TestSuccessorRepeatsUnansweredMove.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -18,10 +18,11 @@
 
 // Timing of the election.
 const (
-	// renewInterval balances the calls per renewal (one append, and a read by each other instance) against recordTTL.
+	// renewInterval balances the calls per renewal (one append, and a read by each other instance) against RecordTTL.
 	renewInterval = 700 * time.Millisecond
-	// recordTTL allows for one lost renewal and the slowest known store (260 ms per call).
-	recordTTL     = 2 * time.Second
+	// RecordTTL is how long after its last renewal an unresponsive owner is replaced. It allows for one lost renewal and
+	// the slowest known store (260 ms per call).
+	RecordTTL     = 2 * time.Second
 	callTimeout   = 600 * time.Millisecond
 	retryInterval = 100 * time.Millisecond
 	// followPollTimeout bounds a read of the owner's records and thereby the delay until an expiry is detected.
@@ -247,7 +248,7 @@
 		e.nextOffset += int64(len(records))
 	}
 	if e.storeFailing {
-		// During the outage the owner could not renew its record either: count recordTTL from now.
+		// During the outage the owner could not renew its record either: count RecordTTL from now.
 		e.storeFailing = false
 		e.lastSeen = time.Now()
 		e.Log.Info("store available again")
@@ -286,7 +287,7 @@
 	owner, owned := e.Current()
 	// A record of this instance outside a term is from an earlier process or from an append that was applied after its
 	// timeout.
-	return !owned || owner.Name == e.Self.Name || e.ownerSuspected.Load() || time.Since(e.lastSeen) > recordTTL
+	return !owned || owner.Name == e.Self.Name || e.ownerSuspected.Load() || time.Since(e.lastSeen) > RecordTTL
 }
 
 // campaign tries to become the owner and, on success, serves until the term ends.
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -76,7 +76,7 @@
 	}
 	await(t, "an owner serves", func() bool { return owners(all...) == 1 })
 	fence := servingFence(all...)
-	for deadline := time.Now().Add(2 * recordTTL); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+	for deadline := time.Now().Add(2 * RecordTTL); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		if n := owners(all...); n != 1 {
 			t.Fatalf("%d owners", n)
 		}
@@ -173,9 +173,9 @@
 	await(t, "an owner serves", func() bool { return owners(a, b) == 1 })
 	fence := a.serving.Load() + b.serving.Load()
 	store.SetFaults(topictest.Faults{Down: true})
-	time.Sleep(recordTTL + renewInterval)
+	time.Sleep(RecordTTL + renewInterval)
 	store.SetFaults(topictest.Faults{})
-	time.Sleep(recordTTL)
+	time.Sleep(RecordTTL)
 	if now := a.serving.Load() + b.serving.Load(); now != fence {
 		t.Errorf("fence %d after the outage, want %d", now, fence)
 	}
@@ -222,7 +222,7 @@
 	began := time.Now()
 	a := join(t, store, "a")
 	await(t, "a serves", func() bool { return a.serving.Load() > 0 })
-	if took := time.Since(began); took > recordTTL/2 {
+	if took := time.Since(began); took > RecordTTL/2 {
 		t.Errorf("the restarted instance waited %v", took)
 	}
 	if !a.predecessorEnded.Load() {
--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/pollenford/pollenford/internal/instances"
+	"github.com/pollenford/pollenford/internal/leader"
 	"github.com/pollenford/pollenford/internal/pool"
 	"github.com/pollenford/pollenford/internal/topic"
 	"github.com/pollenford/pollenford/internal/wait"
@@ -41,11 +42,14 @@
 	waves      map[int64]*wave
 	nextPlan   time.Time
 	callBudget pool.CallBudget // for new orders
+	// inheritedMoves lists, by instance, the moves that an earlier owner ordered without recording the outcome.
+	inheritedMoves map[string]moveOrder
 }
 
 func (f *fleetState) init() {
 	f.instances = map[string]*instance{}
 	f.waves = map[int64]*wave{}
+	f.inheritedMoves = map[string]moveOrder{}
 }
 
 // instance is the listed state of an instance and the orders for it.
@@ -198,11 +202,12 @@
 
 // tickFleet advances waves and balances the pools every planInterval.
 func (o *Owner) tickFleet(now time.Time) {
-	if !o.fleet.listed || now.Before(o.fleet.nextPlan) || !o.leading() {
+	if !o.fleet.listed || now.Before(o.fleet.nextPlan) || !o.mayOrder() {
 		return
 	}
 	o.fleet.nextPlan = now.Add(planInterval)
 	o.fleet.callBudget.Refill(now)
+	o.resumeMoves()
 	o.blockedEvictions = map[string]int{}
 	for _, w := range o.fleet.waves {
 		if w.hasSpec && !w.progress.Completed {
@@ -385,21 +390,26 @@
 	return instances.OwnerID{Name: o.cfg.Name, Fence: o.term.Fence}
 }
 
-// sendInstanceOrder repeats a call until it succeeds, is rejected or the owner stops leading, then runs onResult in the
-// event loop.
+// mayOrder reports whether no other instance can have become the owner yet. Unlike the renewal of leases, an order must
+// not be sent later: the next owner may have placed work on the instance.
+func (o *Owner) mayOrder() bool { return o.term.Age() < leader.RecordTTL }
+
+// sendInstanceOrder repeats a call until it succeeds or is rejected, then runs onResult in the event loop. It pauses
+// while another owner may exist.
 func (o *Owner) sendInstanceOrder(call func(ctx context.Context) error, onResult func(error)) {
 	go func() {
 		for {
-			ctx, stop := context.WithTimeout(o.ctx, controlTimeout)
-			err := call(ctx)
-			stop()
-			if err == nil || isDefinitive(err) {
-				o.post(func() { onResult(err) })
-				return
+			if o.mayOrder() {
+				ctx, stop := context.WithTimeout(o.ctx, controlTimeout)
+				err := call(ctx)
+				stop()
+				if err == nil || isDefinitive(err) {
+					o.post(func() { onResult(err) })
+					return
+				}
+				o.log.Debug("instance order unanswered", "err", err)
 			}
-			o.log.Debug("instance order unanswered", "err", err)
-			if !wait.For(o.ctx, orderRetryDelay) || !o.leading() {
-				o.post(func() { onResult(err) })
+			if !wait.For(o.ctx, orderRetryDelay) {
 				return
 			}
 		}
@@ -427,10 +437,8 @@
 		o.stepDown("the instance service has accepted a newer owner")
 	default:
 		o.log.Info("maintenance order failed", "wave", w.Number, "instance", id, "reason", err)
-		if isDefinitive(err) {
-			w.clearOrdered(id)
-			o.recordWave(w)
-		}
+		w.clearOrdered(id)
+		o.recordWave(w)
 		inst.cordonedAt = time.Time{}
 		inst.settledAfter = time.Now().Add(2 * listInterval)
 		if worker := o.workers[inst.info.Worker]; worker != nil {
--- a/internal/owner/fleet_test.go
+++ b/internal/owner/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/pollenford/pollenford/internal/catalog"
 	"github.com/pollenford/pollenford/internal/instances"
+	"github.com/pollenford/pollenford/internal/pool"
 	"github.com/pollenford/pollenford/internal/topic/topictest"
 	"github.com/pollenford/pollenford/internal/workers"
 	"github.com/pollenford/pollenford/internal/workers/workertest"
@@ -31,6 +32,9 @@
 	maxDown       int           // highest number of instances down at a time
 	downtime      time.Duration // 0 means defaultDowntime
 	dropResponses bool          // maintenance orders are carried out without a response
+	ignoreMoves   bool          // moves get no response and have no effect
+	ignoredMoves  int
+	listings      int
 }
 
 func (h *harness) withControl() *fakeControl {
@@ -82,6 +86,7 @@
 func (c *fakeControl) List(context.Context, string) ([]instances.Instance, string, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.listings++
 	return slices.Clone(c.list), "", nil
 }
 
@@ -99,10 +104,30 @@
 }
 
 // Move implements instances.Control.
-func (c *fakeControl) Move(_ context.Context, _ instances.OwnerID, instance, pool string) error {
+func (c *fakeControl) Move(ctx context.Context, _ instances.OwnerID, instance, pool string) error {
+	if c.ignoresMove() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	return c.order("move "+instance+" "+pool, instance, pool, instances.Moving)
 }
 
+func (c *fakeControl) ignoresMove() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ignoreMoves {
+		c.ignoredMoves++
+	}
+	return c.ignoreMoves
+}
+
+// count returns one of the counters of the service.
+func (c *fakeControl) count(counter *int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return *counter
+}
+
 func (c *fakeControl) order(order, instance, pool string, state instances.State) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -345,13 +370,93 @@
 	h.await("the tasks run again", func() bool { return h.runningTasks("a", 2) == 2 })
 }
 
-// Guards the standby pool: pending tasks beyond a pool's capacity make exactly one standby instance move into it.
-func TestStandbyServesAPeak(t *testing.T) {
-	h := newHarness(t)
+// withStandby adds a standby pool to the configuration.
+func (h *harness) withStandby() {
 	old := h.catalog.Load()
 	h.catalog.Store(catalog.New(2, []*catalog.Queue{old.Queues["queue"]},
 		[]*catalog.Pool{{Name: testPool, EnforcesCapacity: true}, {Name: "standby", Standby: true}},
 		[]*catalog.Organisation{old.Organisations["org"]}, catalog.HTTPLimits{}))
+}
+
+// startWithIdleInstance starts an owner whose only instance, i1, is up and idle.
+func (h *harness) startWithIdleInstance() (*runningOwner, *fakeControl) {
+	h.withStandby()
+	c := h.withControl()
+	c.add("i1", false)
+	o := h.startOwner(true)
+	h.await("the instance is idle", func() bool {
+		idle := make(chan bool, 1)
+		o.post(func() {
+			inst := o.fleet.instances["i1"]
+			idle <- inst != nil && o.isMovable(inst, false, time.Now())
+		})
+		return <-idle
+	})
+	return o, c
+}
+
+func (o *Owner) moveToStandby(id string) {
+	o.post(func() { o.move(o.fleet.instances[id], pool.Move{Instance: id, From: testPool, To: "standby"}) })
+}
+
+// An owner that is cut from the store may have been replaced and must not move an instance: its successor may have
+// placed work there. Moves were once ordered without a record, for up to 6 s after the last renewal.
+func TestMoveIsRecordedBeforeItsOrder(t *testing.T) {
+	h := newHarness(t)
+	o, c := h.startWithIdleInstance()
+	h.store.SetFaults(topictest.Faults{Down: true})
+	o.moveToStandby("i1")
+	listed := c.count(&c.listings)
+	h.await("two more listings", func() bool { return c.count(&c.listings) >= listed+2 })
+	if orders := c.ordered(); len(orders) > 0 {
+		t.Errorf("orders %v without a record", orders)
+	}
+	h.store.SetFaults(topictest.Faults{})
+	h.await("the move is ordered", func() bool { return len(c.ordered()) == 1 })
+}
+
+// An owner that has not renewed its own record for as long as its replacement takes must not send an order that it
+// recorded before, as after a pause of its process.
+func TestPausedOwnerSendsNoOrder(t *testing.T) {
+	h := newHarness(t)
+	o, c := h.startWithIdleInstance()
+	o.pauseRenewals()
+	h.await("the term is old", func() bool { return !o.mayOrder() })
+	o.moveToStandby("i1")
+	listed := c.count(&c.listings)
+	h.await("two more listings", func() bool { return c.count(&c.listings) >= listed+2 })
+	if orders := c.ordered(); len(orders) > 0 {
+		t.Errorf("orders %v of an owner that may have been replaced", orders)
+	}
+}
+
+// A successor must not use an instance that its predecessor ordered to move without an answer: the order may still be
+// carried out and would end the tasks placed meanwhile. It repeats the order.
+func TestSuccessorRepeatsUnansweredMove(t *testing.T) {
+	h := newHarness(t)
+	first, c := h.startWithIdleInstance()
+	c.mu.Lock()
+	c.ignoreMoves = true
+	c.mu.Unlock()
+	first.moveToStandby("i1")
+	h.await("the move was ordered", func() bool { return c.count(&c.ignoredMoves) > 0 })
+	first.stop()
+	c.mu.Lock()
+	c.ignoreMoves = false
+	c.mu.Unlock()
+	second := h.startOwner(true)
+	h.submit(second, newJob("a", 1))
+	h.await("the move is repeated", func() bool { return slices.Contains(c.ordered(), "move i1 standby") })
+	if n := len(h.startsOf("a.0.0.0")); n > 0 {
+		t.Error("a task was placed on an instance with an unanswered move")
+	}
+	h.await("the task runs once an instance is back", func() bool { return len(h.startsOf("a.0.0.0")) == 1 })
+}
+
+// Guards the standby pool: pending tasks beyond a pool's capacity make exactly one standby instance move into it.
+func TestStandbyServesAPeak(t *testing.T) {
+	h := newHarness(t)
+	h.withStandby()
 	c := h.withControl()
 	c.add("i1", false)
 	c.add("s1", true)
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -110,6 +110,7 @@
 	*Owner
 	term       *leader.Term
 	cancelTerm context.CancelFunc
+	noRenewals atomic.Bool
 	done       chan error
 }
 
@@ -136,7 +137,9 @@
 	}
 	renew := func() {
 		for wait.For(ctx, 50*time.Millisecond) {
-			r.term.MarkRenewed()
+			if !r.noRenewals.Load() {
+				r.term.MarkRenewed()
+			}
 		}
 	}
 	go renew()
@@ -145,6 +148,9 @@
 	return r
 }
 
+// pauseRenewals keeps the owner from renewing its record, as if its process were suspended.
+func (r *runningOwner) pauseRenewals() { r.noRenewals.Store(true) }
+
 func (r *runningOwner) stop() { r.cancelTerm(); <-r.Owner.ctx.Done() }
 
 // testWriter writes log lines to the test's log, which is shown if the test fails.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -236,6 +236,8 @@
 			err = o.loadWave(r)
 		case lossKeyPrefix:
 			err = o.loadLoss(id, r)
+		case moveKeyPrefix:
+			err = o.loadMove(id, r)
 		}
 		if err != nil {
 			o.log.Error("unreadable record skipped", "key", r.Key, "offset", r.Offset, "err", err)
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -6,11 +6,13 @@
 	"strings"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
 	"github.com/pollenford/pollenford/internal/instances"
 	"github.com/pollenford/pollenford/internal/pool"
 	"github.com/pollenford/pollenford/internal/schedule"
+	"github.com/pollenford/pollenford/internal/topic"
 	"github.com/pollenford/pollenford/internal/workload"
 )
 
@@ -115,7 +117,55 @@
 	return 0
 }
 
-// move orders a move. The worker stays cordoned while the outcome of the order is unknown.
+// moveKeyPrefix is the prefix of the keys of ordered moves whose outcome is not known yet.
+const moveKeyPrefix = "m/"
+
+// moveOrder is recorded before a move is ordered, under the instance's ID. A successor must not use the worker while
+// the order may still take effect, because a move ends everything that runs on the instance.
+type moveOrder struct {
+	Worker string `cbor:"1,keyasint"`
+	To     string `cbor:"2,keyasint"`
+}
+
+// loadMove keeps the worker of an ordered move closed to new work until resumeMoves has ordered the move again.
+func (o *Owner) loadMove(instance string, r topic.Record) error {
+	var order moveOrder
+	if err := cbor.Unmarshal(r.Value, &order); err != nil {
+		return errors.Trace(err)
+	}
+	o.fleet.inheritedMoves[instance] = order
+	if order.Worker != "" {
+		o.getOrCreateWorker(order.Worker).cordoned = true
+	}
+	return nil
+}
+
+// resumeMoves repeats the moves whose outcome an earlier owner did not record. The repeated order has no effect if the
+// first one was carried out, and otherwise fences it.
+func (o *Owner) resumeMoves() {
+	for id, order := range o.fleet.inheritedMoves {
+		inst := o.fleet.instances[id]
+		if inst != nil && inst.listed && inst.info.Pool != order.To && inst.info.Worker == order.Worker {
+			if o.fleet.callBudget.Allow() {
+				delete(o.fleet.inheritedMoves, id)
+				o.move(inst, pool.Move{Instance: id, From: inst.info.Pool, To: order.To})
+			}
+			continue
+		}
+		o.log.Info("inherited move has ended", "instance", id, "to", order.To)
+		delete(o.fleet.inheritedMoves, id)
+		o.forgetMove(id)
+		if w := o.workers[order.Worker]; w != nil {
+			w.cordoned = false
+		}
+	}
+}
+
+func (o *Owner) forgetMove(instance string) {
+	o.queueRecord(topic.Record{Key: moveKeyPrefix + instance})
+}
+
+// move orders a move once it is recorded. The worker stays cordoned while the outcome of the order is unknown.
 func (o *Owner) move(inst *instance, m pool.Move) {
 	o.metrics.moves.Inc(1)
 	o.log.Info("moving instance", "instance", m.Instance, "from", m.From, "to", m.To)
@@ -125,28 +175,35 @@
 	if w != nil {
 		w.cordoned = true
 	}
-	o.sendInstanceOrder(func(ctx context.Context) error {
-		return o.cfg.Control.Move(ctx, o.ownerID(), m.Instance, m.To)
-	}, func(err error) {
-		inst.orderPending = false
-		inst.settledAfter = time.Now().Add(o.cfg.Timing.MoveTime + listInterval)
-		switch {
-		case err == nil:
-			return
-		case errors.Is(err, instances.ErrFenced):
-			o.stepDown("the instance service has accepted a newer owner")
-			return
-		case errors.Is(err, instances.ErrInvalidTarget):
-			inst.rejectedBy = append(inst.rejectedBy, m.To)
-		}
-		o.log.Info("instance move failed", "instance", m.Instance, "to", m.To, "reason", err)
-		inst.movingTo = ""
-		if w != nil {
-			w.cordoned = false
-		}
+	o.queueRecord(topic.Record{Key: moveKeyPrefix + m.Instance, Value: o.encode(moveOrder{inst.info.Worker, m.To})})
+	o.afterCommit(func() {
+		o.sendInstanceOrder(func(ctx context.Context) error {
+			return o.cfg.Control.Move(ctx, o.ownerID(), m.Instance, m.To)
+		}, func(err error) { o.handleMoveResult(inst, w, m, err) })
 	})
 }
 
+func (o *Owner) handleMoveResult(inst *instance, w *worker, m pool.Move, err error) {
+	inst.orderPending = false
+	inst.settledAfter = time.Now().Add(o.cfg.Timing.MoveTime + listInterval)
+	switch {
+	case err == nil:
+		o.forgetMove(m.Instance)
+		return
+	case errors.Is(err, instances.ErrFenced):
+		o.stepDown("the instance service has accepted a newer owner")
+		return
+	case errors.Is(err, instances.ErrInvalidTarget):
+		inst.rejectedBy = append(inst.rejectedBy, m.To)
+	}
+	o.forgetMove(m.Instance)
+	o.log.Info("instance move failed", "instance", m.Instance, "to", m.To, "reason", err)
+	inst.movingTo = ""
+	if w != nil {
+		w.cordoned = false
+	}
+}
+
 // instancesNeeded returns how many more instances a pool needs for long-running tasks: the number of blocked evictions
 // or the highest number of unplaceable tasks in a step, whichever is larger.
 func (o *Owner) instancesNeeded(name string) int {
