Forecast the rise of demand, lend idle instances at once, and move tasks of a wave from its beginning

Change: the trend of arriving work is extrapolated to the time when an instance arrives, shrunk by the part that chance explains; demand is bounded by the organisations' limits and knows due occurrences of scheduled jobs; a pool with a shortage takes what another has just left idle; long-running tasks avoid instances that are due for maintenance and leave them from the beginning of a wave; fetched instances are those that no wave takes down.

--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -37,11 +37,13 @@
 
 // fleetState is the owner's view of instances and waves.
 type fleetState struct {
-	instances  map[string]*instance
-	listed     bool
-	waves      map[int64]*wave
-	nextPlan   time.Time
-	callBudget pool.CallBudget // for new orders
+	instances map[string]*instance
+	listed    bool
+	waves     map[int64]*wave
+	nextPlan  time.Time
+	// poolsLogged is when the states of the pools were last logged.
+	poolsLogged time.Time
+	callBudget  pool.CallBudget // for new orders
 	// inheritedMoves lists, by instance, the moves that an earlier owner ordered without recording the outcome.
 	inheritedMoves map[string]moveOrder
 }
@@ -64,6 +66,8 @@
 	// movingTo is the target pool of a move in progress.
 	movingTo   string
 	rejectedBy []string // pools that rejected the instance
+	// dueForMaintenance reports whether the instance is part of a wave and its maintenance has not begun.
+	dueForMaintenance bool
 }
 
 // waveProgress is the stored state of a wave.
@@ -214,6 +218,8 @@
 			o.advanceWave(w, now)
 		}
 	}
+	o.markDueForMaintenance()
+	o.evacuate(now)
 	o.balancePools(now)
 }
 
--- a/internal/owner/fleet_test.go
+++ b/internal/owner/fleet_test.go
@@ -57,16 +57,28 @@
 	c.list = append(c.list, inst)
 }
 
-// workerOf returns the ID of the worker on an instance.
-func (c *fakeControl) workerOf(instance string) string {
+// workerOn returns the worker on an instance, or nil.
+func (c *fakeControl) workerOn(instance string) *workertest.Worker {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := range c.list {
 		if c.list[i].ID == instance {
-			return c.list[i].Worker
+			return c.h.fleet.At("address-of-" + c.list[i].Worker)
 		}
 	}
-	return ""
+	return nil
+}
+
+// instancesWithRuns returns the instances whose worker has runs.
+func (c *fakeControl) instancesWithRuns() []string {
+	var ids []string
+	list, _, _ := c.List(context.Background(), "")
+	for i := range list {
+		if w := c.workerOn(list[i].ID); w != nil && len(w.Running()) > 0 {
+			ids = append(ids, list[i].ID)
+		}
+	}
+	return ids
 }
 
 // startWorker registers a new worker on an instance and returns its ID.
@@ -253,13 +265,8 @@
 	first := h.startOwner(true)
 	h.submit(first, longRunningJob("a", 3, 1))
 	h.await("the tasks run", func() bool { return h.runningTasks("a", 3) == 3 })
-	var hosts []*workertest.Worker
-	var ids []string
-	for _, id := range []string{"i1", "i2", "i3", "i4"} {
-		if w := h.fleet.At("address-of-" + c.workerOf(id)); len(w.Running()) > 0 {
-			hosts, ids = append(hosts, w), append(ids, id)
-		}
-	}
+	ids := c.instancesWithRuns()
+	hosts := []*workertest.Worker{c.workerOn(ids[0]), c.workerOn(ids[1])}
 	hosts[0].HoldStops()
 	hosts[1].HoldStops()
 	h.startWave(1, ids[0])
@@ -306,6 +313,31 @@
 	h.await("the task runs again", func() bool { return len(h.startsOf("a.0.0.0")) == 2 })
 }
 
+// Guards waves in which many tasks of a step have to move: each move takes about a second, so they begin with the wave,
+// also on instances whose turn has not come. Moves that waited for their instance's turn left 3 of 276 instances of
+// crt-rounds-large trouble-3 without maintenance at the deadline.
+func TestWaveMovesLongRunningTasksFromItsBeginning(t *testing.T) {
+	h := newHarness(t)
+	c := h.withControl()
+	c.downtime = time.Hour // the first maintenance lasts, so no other instance gets its turn
+	for _, id := range []string{"i1", "i2", "i3", "i4", "i5"} {
+		c.add(id, false)
+	}
+	o := h.startOwner(true)
+	h.submit(o, longRunningJob("a", 2, 1))
+	h.await("the tasks run", func() bool { return h.runningTasks("a", 2) == 2 })
+	hosts := c.instancesWithRuns()
+	h.startWave(1, hosts...)
+	h.await("no task is left on an instance of the wave", func() bool {
+		for _, id := range hosts {
+			if slices.Contains(c.instancesWithRuns(), id) {
+				return false
+			}
+		}
+		return h.runningTasks("a", 2) == 2
+	})
+}
+
 // Guards against a wave taking down more than MaxConcurrent instances at a time.
 func TestWaveStaysWithinMaxConcurrent(t *testing.T) {
 	h := newHarness(t)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -109,8 +109,8 @@
 	fleet            fleetState
 	// pendingCPU is the CPU requested by tasks that could not be placed, by pool, in thousandths of a core.
 	pendingCPU map[string]int64
-	// arrivalRates holds the rate at which work arrives, by pool.
-	arrivalRates map[string]*pool.ArrivalRate
+	// demands holds the arriving work, by pool.
+	demands map[string]*pool.Demand
 	// blockedEvictions counts, by pool, the long-running tasks to evict that no other worker can take.
 	blockedEvictions map[string]int
 	tickets          map[stepKey]*tickets
@@ -131,6 +131,7 @@
 	recordedStatus    jobs.Status // latest status acknowledged by the store
 	waiters           []func()    // called once the job's end is recorded
 	plan              plan
+	demanded          int // occurrences that count as demand on the pool
 }
 
 func (j *job) status() jobs.Status {
@@ -151,7 +152,7 @@
 		cfg: cfg, term: term, log: cfg.Log.With("fence", term.Fence), events: make(chan func(), eventQueueSize),
 		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{},
 		usage: map[string]catalog.Resources{}, recoveredAt: time.Now(), loggedOffsets: map[string]int64{},
-		metrics: newMetrics(cfg.Scope), tickets: map[stepKey]*tickets{}, arrivalRates: map[string]*pool.ArrivalRate{},
+		metrics: newMetrics(cfg.Scope), tickets: map[stepKey]*tickets{}, demands: map[string]*pool.Demand{},
 	}
 	o.ctx, o.cancel = context.WithCancelCause(ctx)
 	o.fleet.init()
@@ -358,7 +359,11 @@
 		o.checkWorkerTimeouts(w, now)
 	}
 	for _, j := range o.active {
-		if j.spec.IsScheduled() && j.progress.CreateDue(j.spec, now.Add(o.cfg.Timing.EarlyStart/2).UnixMilli()) {
+		if !j.spec.IsScheduled() {
+			continue
+		}
+		o.recordUpcoming(j, now)
+		if j.progress.CreateDue(j.spec, now.Add(o.cfg.Timing.EarlyStart/2).UnixMilli()) {
 			o.markDirty(j)
 			o.replan = true
 		}
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -214,6 +214,7 @@
 	for i, w := range view.workers {
 		view.candidates[i] = schedule.Candidate{
 			Free: w.info.Capacity.Sub(w.used.resources), Rack: w.info.Rack, SuspectScore: w.health.suspectScore(now),
+			DueForMaintenance: o.isDueForMaintenance(w),
 		}
 	}
 	return view
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -25,8 +25,8 @@
 	for _, p := range o.cfg.Catalog().Pools {
 		states[p.Name] = &pool.State{Name: p.Name, Standby: p.Standby, PendingCPU: o.pendingCPU[p.Name],
 			InstancesNeeded: o.instancesNeeded(p.Name)}
-		if rate := o.arrivalRates[p.Name]; rate != nil {
-			states[p.Name].ForecastCPU = rate.ForecastCPU(now)
+		if demand := o.demands[p.Name]; demand != nil {
+			states[p.Name].ForecastCPU = demand.ForecastCPU(now, o.cfg.Timing.MoveTime, o.limitCPU)
 		}
 	}
 	for _, w := range o.workers {
@@ -49,7 +49,7 @@
 		}
 		if s := states[inst.info.Pool]; s != nil && o.isMovable(inst, s.Standby, now) {
 			s.IdleInstances = append(s.IdleInstances, pool.Instance{ID: inst.info.ID, CPU: inst.info.Capacity.CPU,
-				IdleTime: o.idleTime(inst, now), RejectedBy: inst.rejectedBy})
+				IdleTime: o.idleTime(inst, now), RejectedBy: inst.rejectedBy, DueForMaintenance: inst.dueForMaintenance})
 		}
 	}
 	list := make([]pool.State, 0, len(states))
@@ -58,6 +58,7 @@
 		list = append(list, *s)
 	}
 	slices.SortFunc(list, func(a, b pool.State) int { return strings.Compare(a.Name, b.Name) })
+	o.logPools(list, now)
 	for _, m := range pool.Plan(list, pool.DefaultPolicy()) {
 		if !o.fleet.callBudget.Allow() {
 			return
@@ -66,10 +67,35 @@
 	}
 }
 
-// recordArrival adds an accepted job to its pool's arrival rate; long-running and scheduled jobs do not count.
+// poolLogInterval bounds the lines about pools to one for each pool and interval.
+const poolLogInterval = time.Second
+
+// logPools writes the state of each pool, from which the moves of the following interval were planned.
+func (o *Owner) logPools(list []pool.State, now time.Time) {
+	if now.Sub(o.fleet.poolsLogged) < poolLogInterval {
+		return
+	}
+	o.fleet.poolsLogged = now
+	for i := range list {
+		s := &list[i]
+		o.log.Info("pool state", "pool", s.Name, "used_cpu", s.UsedCPU, "free_cpu", s.FreeCPU, "pending_cpu", s.PendingCPU,
+			"forecast_cpu", s.ForecastCPU, "incoming", s.IncomingInstances, "idle", len(s.IdleInstances),
+			"needed", s.InstancesNeeded)
+	}
+}
+
+// limitCPU returns an organisation's limit in thousandths of a core; 0 means that it has none.
+func (o *Owner) limitCPU(organisation string) int64 {
+	if org := o.cfg.Catalog().Organisations[organisation]; org != nil {
+		return org.Limit.CPU
+	}
+	return 0
+}
+
+// recordArrival adds an occurrence of a job to the demand on its pool; long-running jobs do not count.
 func (o *Owner) recordArrival(spec *workload.Job, now time.Time) {
 	q := o.cfg.Catalog().Queues[spec.Queue]
-	if q == nil || spec.IsLongRunning() || spec.IsScheduled() {
+	if q == nil || spec.IsLongRunning() {
 		return
 	}
 	work := int64(0)
@@ -77,10 +103,20 @@
 		s := &spec.Steps[i]
 		work += int64(s.Count) * s.ReservedResources().CPU * s.Estimate.Milliseconds()
 	}
-	if o.arrivalRates[q.Pool] == nil {
-		o.arrivalRates[q.Pool] = &pool.ArrivalRate{}
+	if o.demands[q.Pool] == nil {
+		o.demands[q.Pool] = &pool.Demand{}
+	}
+	o.demands[q.Pool].Add(spec.Organisation, work, now)
+}
+
+// recordUpcoming adds the occurrences that are due before an instance that is fetched now is in service.
+func (o *Owner) recordUpcoming(j *job, now time.Time) {
+	horizon := now.Add(o.cfg.Timing.MoveTime).UnixMilli()
+	j.demanded = max(j.demanded, j.progress.Created)
+	for j.demanded < j.spec.Repeats && j.spec.FirstDueMS+int64(j.demanded)*j.spec.PeriodMS <= horizon {
+		j.demanded++
+		o.recordArrival(j.spec, now)
 	}
-	o.arrivalRates[q.Pool].Add(work, now)
 }
 
 // moveFinished reports whether a moved instance is in service in its target pool or overdue.
@@ -145,7 +181,9 @@
 func (o *Owner) resumeMoves() {
 	for id, order := range o.fleet.inheritedMoves {
 		inst := o.fleet.instances[id]
-		if inst != nil && inst.listed && inst.info.Pool != order.To && inst.info.Worker == order.Worker {
+		w := o.workers[order.Worker]
+		idle := w == nil || len(w.runs) == 0 // an owner of an earlier version placed work regardless of the record
+		if idle && inst != nil && inst.listed && inst.info.Pool != order.To && inst.info.Worker == order.Worker {
 			if o.fleet.callBudget.Allow() {
 				delete(o.fleet.inheritedMoves, id)
 				o.move(inst, pool.Move{Instance: id, From: inst.info.Pool, To: order.To})
@@ -155,7 +193,7 @@
 		o.log.Info("inherited move has ended", "instance", id, "to", order.To)
 		delete(o.fleet.inheritedMoves, id)
 		o.forgetMove(id)
-		if w := o.workers[order.Worker]; w != nil {
+		if w != nil {
 			w.cordoned = false
 		}
 	}
@@ -240,6 +278,11 @@
 
 // countEligibleWorkers returns how many workers can take a task of the step now.
 func (o *Owner) countEligibleWorkers(j *job, occurrence, step int) int {
+	return o.countEligible(j, occurrence, step, func(*worker) bool { return true })
+}
+
+// countEligible returns how many of the workers that satisfy a condition can take a task of the step now.
+func (o *Owner) countEligible(j *job, occurrence, step int, condition func(*worker) bool) int {
 	spec := &j.spec.Steps[step]
 	q := o.cfg.Catalog().Queues[j.spec.Queue]
 	if q == nil {
@@ -249,11 +292,14 @@
 	key := stepKey{j, occurrence, step}
 	n := 0
 	for _, w := range o.workers {
+		if w.info.Pool != q.Pool || !w.usable(now) || !condition(w) {
+			continue
+		}
 		candidate := schedule.Candidate{
 			Free: w.info.Capacity.Sub(w.used.resources), StepTasks: w.used.tasksPerStep[key],
 			HasLabel: w.info.HasLabel(spec.RequiredLabel),
 		}
-		if w.info.Pool == q.Pool && w.usable(now) && schedule.SelectWorker(spec, []schedule.Candidate{candidate}) == 0 {
+		if candidate.Fits(spec) {
 			n++
 		}
 	}
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -68,7 +68,11 @@
 		o.jobs[spec.ID] = j
 		o.active[spec.ID] = j
 		o.computePlan(j)
-		o.recordArrival(spec, time.Now())
+		if spec.IsScheduled() {
+			o.recordUpcoming(j, time.Now())
+		} else {
+			o.recordArrival(spec, time.Now())
+		}
 		j.progress.CreateDue(spec, time.Now().UnixMilli())
 		o.markDirty(j)
 		o.replan = true
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -12,7 +12,7 @@
 
 // Policy holds the thresholds of Plan.
 type Policy struct {
-	// MinIdle is how long an instance must have been idle before it leaves its pool.
+	// MinIdle is how long an instance must have been idle before it leaves its pool for standby.
 	MinIdle time.Duration
 	// MinFreeCPU is the free capacity, in thousandths of a core, that a pool keeps when instances leave.
 	MinFreeCPU int64
@@ -36,6 +36,8 @@
 	IdleTime time.Duration
 	// RejectedBy lists the pools that are known to reject the instance.
 	RejectedBy []string
+	// DueForMaintenance reports whether a wave is going to take the instance down.
+	DueForMaintenance bool
 }
 
 // State is the state of one pool. CPU amounts are in thousandths of a core.
@@ -93,34 +95,59 @@
 }
 
 // fetch picks an instance for the pool to, marks it as taken and returns the move and the capacity, 0 if there is none.
+// Instances of standby pools go first, then idle ones of pools without a shortage.
 func fetch(pools []State, to *State, policy Policy, taken map[string]bool) (Move, int64) {
 	for _, standby := range []bool{true, false} {
 		for i := range pools {
 			from := &pools[i]
-			if from.Name == to.Name || from.Standby != standby || from.PendingCPU > 0 || from.InstancesNeeded > 0 {
+			if from.Name == to.Name || from.Standby != standby || from.isShort() {
 				continue
 			}
-			for _, inst := range from.IdleInstances {
-				if taken[inst.ID] || slices.Contains(inst.RejectedBy, to.Name) ||
-					!standby && !from.canSpare(inst, policy) {
+			var best *Instance
+			for k := range from.IdleInstances {
+				inst := &from.IdleInstances[k]
+				if taken[inst.ID] || slices.Contains(inst.RejectedBy, to.Name) || !standby && !from.canLend(inst, policy) {
 					continue
 				}
-				taken[inst.ID] = true
-				from.FreeCPU -= inst.CPU
-				return Move{inst.ID, from.Name, to.Name}, inst.CPU
+				if best == nil || preferred(inst, best) {
+					best = inst
+				}
+			}
+			if best != nil {
+				taken[best.ID] = true
+				from.FreeCPU -= best.CPU
+				return Move{best.ID, from.Name, to.Name}, best.CPU
 			}
 		}
 	}
 	return Move{}, 0
 }
 
-// canSpare reports whether the instance may leave the pool.
-func (s *State) canSpare(inst Instance, policy Policy) bool {
-	return s.PendingCPU == 0 && s.InstancesNeeded == 0 && inst.IdleTime >= policy.MinIdle &&
-		s.FreeCPU-inst.CPU >= policy.MinFreeCPU &&
+// preferred reports whether a is fetched before b: an instance that no wave is about to take down, then the one that
+// has been idle for longer.
+func preferred(a, b *Instance) bool {
+	if a.DueForMaintenance != b.DueForMaintenance {
+		return b.DueForMaintenance
+	}
+	return a.IdleTime > b.IdleTime
+}
+
+// isShort reports whether tasks wait for capacity of the pool.
+func (s *State) isShort() bool { return s.PendingCPU > 0 || s.InstancesNeeded > 0 }
+
+// canLend reports whether the pool does without the instance in the near future, so that it may go to a pool that is
+// short of capacity.
+func (s *State) canLend(inst *Instance, policy Policy) bool {
+	return !s.isShort() && s.FreeCPU-inst.CPU >= policy.MinFreeCPU &&
 		s.UsedCPU+s.FreeCPU-inst.CPU >= s.forecastCPU(policy)
 }
 
+// canSpare reports whether the instance may leave the pool for standby. It has to be idle for a while, because a move
+// back costs more than a short stay.
+func (s *State) canSpare(inst *Instance, policy Policy) bool {
+	return inst.IdleTime >= policy.MinIdle && s.canLend(inst, policy)
+}
+
 // release moves spare instances to a standby pool that accepts them.
 func release(pools []State, policy Policy, taken map[string]bool) []Move {
 	var moves []Move
@@ -129,7 +156,8 @@
 		if from.Standby {
 			continue
 		}
-		for _, inst := range from.IdleInstances {
+		for k := range from.IdleInstances {
+			inst := &from.IdleInstances[k]
 			to := standbyFor(pools, inst)
 			if to == "" || taken[inst.ID] || !from.canSpare(inst, policy) {
 				continue
@@ -143,7 +171,7 @@
 }
 
 // standbyFor returns the name of the first standby pool that does not reject the instance, or "".
-func standbyFor(pools []State, inst Instance) string {
+func standbyFor(pools []State, inst *Instance) string {
 	for i := range pools {
 		if pools[i].Standby && !slices.Contains(inst.RejectedBy, pools[i].Name) {
 			return pools[i].Name
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -57,6 +57,18 @@
 		"long-running tasks without an instance: one is incoming": {
 			[]State{{Name: "a", InstancesNeeded: 1, IncomingInstances: 1, IncomingCPU: 16_000}, standby(idleInstance("s1", 0))}, nil,
 		},
+		"two queues: one at its peak takes what the other has just left idle": {
+			[]State{{Name: "a", UsedCPU: 10_000, PendingCPU: 30_000}, {Name: "b", UsedCPU: 10_000, FreeCPU: 64_000, IdleInstances: []Instance{idleInstance("b1", 10*time.Millisecond), idleInstance("b2", 20*time.Millisecond)}}},
+			[]Move{{"b2", "b", "a"}, {"b1", "b", "a"}},
+		},
+		"two queues: the other needs its idle instance for arriving work": {
+			[]State{{Name: "a", PendingCPU: 30_000}, {Name: "b", UsedCPU: 10_000, FreeCPU: 64_000, ForecastCPU: 90_000, IdleInstances: []Instance{idleInstance("b1", 10*time.Millisecond)}}},
+			nil,
+		},
+		"wave: instances that stay go first": {
+			[]State{{Name: "a", PendingCPU: 10_000}, standby(Instance{ID: "s1", CPU: 16_000, DueForMaintenance: true}, idleInstance("s2", 0))},
+			[]Move{{"s2", "standby", "a"}},
+		},
 		"start of a peak: fetches before tasks wait": {
 			[]State{{Name: "a", UsedCPU: 20_000, FreeCPU: 10_000, ForecastCPU: 75_000}, standby(idleInstance("s1", 0), idleInstance("s2", 0), idleInstance("s3", 0))},
 			[]Move{{"s1", "standby", "a"}, {"s2", "standby", "a"}},
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -64,16 +64,18 @@
 		candidates []Candidate
 		want       int
 	}{
-		"insufficient CPU":    {&step, []Candidate{{Free: free(999)}}, -1},
-		"insufficient memory": {&step, []Candidate{{Free: catalog.Resources{CPU: 9000}}}, -1},
-		"fullest":             {&step, []Candidate{{Free: free(5000)}, {Free: free(1500)}}, 1},
-		"sound":               {&step, []Candidate{{Free: free(1500), SuspectScore: 2}, {Free: free(5000)}}, 1},
-		"doubtful":            {&step, []Candidate{{Free: free(1500), SuspectScore: 2}}, 0},
-		"on the data's rack":  {stepWith(func(s *workload.Step) { s.DataRack = "r2" }), []Candidate{{Free: free(1500), Rack: "r1"}, {Free: free(5000), Rack: "r2"}}, 1},
-		"label":               {stepWith(func(s *workload.Step) { s.RequiredLabel = "ssd" }), []Candidate{{Free: free(1500)}, {Free: free(5000), HasLabel: true}}, 1},
-		"anti-affinity":       {stepWith(func(s *workload.Step) { s.MaxPerWorker = 1 }), []Candidate{{Free: free(1500), StepTasks: 1}, {Free: free(5000)}}, 1},
-		"long-running spread": {stepWith(func(s *workload.Step) { s.LongRunning = true }), []Candidate{{Free: free(1500), StepTasks: 1}, {Free: free(5000)}}, 1},
-		"filler":              {stepWith(func(s *workload.Step) { s.BestEffort = true }), []Candidate{{Free: free(0)}}, 0},
+		"insufficient CPU":               {&step, []Candidate{{Free: free(999)}}, -1},
+		"insufficient memory":            {&step, []Candidate{{Free: catalog.Resources{CPU: 9000}}}, -1},
+		"fullest":                        {&step, []Candidate{{Free: free(5000)}, {Free: free(1500)}}, 1},
+		"sound":                          {&step, []Candidate{{Free: free(1500), SuspectScore: 2}, {Free: free(5000)}}, 1},
+		"doubtful":                       {&step, []Candidate{{Free: free(1500), SuspectScore: 2}}, 0},
+		"on the data's rack":             {stepWith(func(s *workload.Step) { s.DataRack = "r2" }), []Candidate{{Free: free(1500), Rack: "r1"}, {Free: free(5000), Rack: "r2"}}, 1},
+		"label":                          {stepWith(func(s *workload.Step) { s.RequiredLabel = "ssd" }), []Candidate{{Free: free(1500)}, {Free: free(5000), HasLabel: true}}, 1},
+		"anti-affinity":                  {stepWith(func(s *workload.Step) { s.MaxPerWorker = 1 }), []Candidate{{Free: free(1500), StepTasks: 1}, {Free: free(5000)}}, 1},
+		"long-running spread":            {stepWith(func(s *workload.Step) { s.LongRunning = true }), []Candidate{{Free: free(1500), StepTasks: 1}, {Free: free(5000)}}, 1},
+		"wave: long-running stays":       {stepWith(func(s *workload.Step) { s.LongRunning = true }), []Candidate{{Free: free(1500), DueForMaintenance: true}, {Free: free(5000), StepTasks: 1}}, 1},
+		"wave: short runs where it fits": {&step, []Candidate{{Free: free(1500), DueForMaintenance: true}, {Free: free(5000)}}, 0},
+		"filler":                         {stepWith(func(s *workload.Step) { s.BestEffort = true }), []Candidate{{Free: free(0)}}, 0},
 	} {
 		if got := SelectWorker(c.step, c.candidates); got != c.want {
 			t.Errorf("%s: %d, want %d", name, got, c.want)
--- a/internal/schedule/select.go
+++ b/internal/schedule/select.go
@@ -17,22 +17,25 @@
 	Excluded bool
 	// SuspectScore ranks how likely the worker is faulty; 0 is healthy.
 	SuspectScore int
+	// DueForMaintenance reports whether a wave is going to take the worker's instance down.
+	DueForMaintenance bool
 }
 
-// fits reports whether a task of the step may be placed on the candidate.
-func (c *Candidate) fits(step *workload.Step) bool {
+// Fits reports whether a task of the step may be placed on the candidate.
+func (c *Candidate) Fits(step *workload.Step) bool {
 	return !c.Excluded && step.ReservedResources().FitsIn(c.Free) && (step.RequiredLabel == "" || c.HasLabel) &&
 		(step.MaxPerWorker == 0 || c.StepTasks < step.MaxPerWorker)
 }
 
 // SelectWorker returns the index of the best candidate for a task, or -1. Candidates are ordered by suspect score, then
-// by the rack of the step's data, then, for long-running steps, by the fewest tasks of the step, which limits the
-// damage of losing a worker, then by the least free CPU, which keeps others empty for large tasks and maintenance.
+// by the rack of the step's data, then, for long-running steps, those that no wave is about to take down and by the
+// fewest tasks of the step, which limits the damage of losing a worker, then by the least free CPU, which keeps others
+// empty for large tasks and maintenance.
 func SelectWorker(step *workload.Step, candidates []Candidate) int {
 	best := -1
 	for i := range candidates {
 		c := &candidates[i]
-		if c.fits(step) && (best < 0 || better(step, c, &candidates[best])) {
+		if c.Fits(step) && (best < 0 || better(step, c, &candidates[best])) {
 			best = i
 		}
 	}
@@ -47,6 +50,9 @@
 	if aNear, bNear := a.Rack == step.DataRack, b.Rack == step.DataRack; step.DataRack != "" && aNear != bNear {
 		return aNear
 	}
+	if a.DueForMaintenance != b.DueForMaintenance && step.LongRunning {
+		return b.DueForMaintenance
+	}
 	if a.StepTasks != b.StepTasks && step.LongRunning {
 		return a.StepTasks < b.StepTasks
 	}
