Keep malformed messages and panics from ending a process; reconsider a campaign at once

Cause, found by looking for the operators' fault of a malformed message: a job from a peer was not validated by the owner and one with a wrong step index would have ended its process, and after it was recorded each successor; a schedule far behind created all of its occurrences at once; a panic in the event loop or in a peer request ended the process.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -102,8 +102,9 @@
 	endTerm  func()        // ends the current term, nil without one; protected by mu
 	resigned bool          // protected by mu
 
-	nextOffset     int64     // next to read; negative before the first snapshot
-	lastSeen       time.Time // of the last record, the end of this instance's term or the end of a store outage
+	wake           chan struct{} // ends a poll in flight; protected by mu
+	nextOffset     int64         // next to read; negative before the first snapshot
+	lastSeen       time.Time     // of the last record, the end of this instance's term or the end of a store outage
 	storeFailing   bool
 	ownerSuspected atomic.Bool
 	endedFence     atomic.Int64 // fence of an owner whose process has certainly ended
@@ -128,11 +129,32 @@
 // Suspect reports that the owner with the given fence appears to be down: the election does not wait for its record to
 // expire.
 func (e *Elector) Suspect(fence int64) {
-	if owner, ok := e.Current(); ok && owner.Fence == fence {
-		e.ownerSuspected.Store(true)
+	if owner, ok := e.Current(); ok && owner.Fence == fence && !e.ownerSuspected.Swap(true) {
+		e.Wake()
 	}
 }
 
+// Wake makes Run reconsider at once whether to campaign, rather than at the end of the poll in flight. Call it when
+// Eligible may have changed.
+func (e *Elector) Wake() {
+	select {
+	case e.wakeChannel() <- struct{}{}:
+	default: // a wake-up is pending
+	}
+}
+
+func (e *Elector) wakeChannel() chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.wake == nil {
+		e.wake = make(chan struct{}, 1)
+	}
+	return e.wake
+}
+
+// errWoken means that a poll was ended by Wake.
+const errWoken = errors.ConstError("woken up")
+
 // ConfirmEnded reports that the process of the owner with the given fence has certainly ended.
 func (e *Elector) ConfirmEnded(fence int64) {
 	e.endedFence.Store(fence)
@@ -188,6 +210,10 @@
 			if ctx.Err() != nil {
 				return
 			}
+			if errors.Is(err, errWoken) {
+				e.campaignIfPossible(ctx)
+				continue
+			}
 			if !e.storeFailing {
 				e.storeFailing = true
 				e.Log.Warn("store became unavailable", "err", err)
@@ -198,9 +224,13 @@
 			wait.For(ctx, retryInterval)
 			continue
 		}
-		if e.mayCampaign() && e.waitForStronger(ctx) {
-			e.campaign(ctx)
-		}
+		e.campaignIfPossible(ctx)
+	}
+}
+
+func (e *Elector) campaignIfPossible(ctx context.Context) {
+	if e.nextOffset >= 0 && e.mayCampaign() && e.waitForStronger(ctx) {
+		e.campaign(ctx)
 	}
 }
 
@@ -228,10 +258,28 @@
 	return e.current, e.known
 }
 
-// poll reads the owner's records once and waits up to pollTimeout for new ones.
+// poll reads the owner's records once and waits up to pollTimeout for new ones. It returns errWoken if Wake ends it.
 func (e *Elector) poll(ctx context.Context, pollTimeout time.Duration) error {
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout+callTimeout)
 	defer cancel()
+	var woken atomic.Bool
+	go func() {
+		select {
+		case <-e.wakeChannel():
+			woken.Store(true)
+			cancel()
+		case <-callCtx.Done():
+		}
+	}()
+	err := e.read(callCtx, pollTimeout)
+	if err != nil && woken.Load() {
+		return errWoken
+	}
+	return err
+}
+
+// read reads the owner's records once, or all of them if their offset is not known.
+func (e *Elector) read(callCtx context.Context, pollTimeout time.Duration) error {
 	var records []topic.Record
 	if e.nextOffset < 0 {
 		snapshot, end, err := topic.ReadSnapshot(callCtx, e.Store, ownerTopic)
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
 
 	"github.com/pollenford/pollenford/internal/topic/topictest"
 )
@@ -237,3 +238,30 @@
 		t.Error("PredecessorEnded is false although the predecessor has ended")
 	}
 }
+
+// Guards the time without an owner: a poll that waits for records ends at once when the owner is suspected, or when the
+// instance becomes eligible. It used to delay each take-over after a restart of all instances by up to half a second.
+func TestWakeEndsAPoll(t *testing.T) {
+	store := &topictest.Store{}
+	for name, wake := range map[string]func(*Elector){
+		"eligible":  (*Elector).Wake,
+		"suspected": func(e *Elector) { e.Suspect(7) },
+	} {
+		e := &Elector{Store: store, Log: hclog.NewNullLogger(), Self: Owner{Name: "a"}}
+		if err := e.poll(t.Context(), 0); err != nil { // reads the snapshot
+			t.Fatal(err)
+		}
+		e.setOwner(Owner{Name: "b", Fence: 7})
+		result := make(chan error, 1)
+		go func() { result <- e.poll(t.Context(), 3*testTimeout) }()
+		wake(e)
+		select {
+		case err := <-result:
+			if !errors.Is(err, errWoken) {
+				t.Errorf("%s: the poll returned %v, want %v", name, err, errWoken)
+			}
+		case <-time.After(testTimeout):
+			t.Errorf("%s: the poll went on", name)
+		}
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -128,6 +129,12 @@
 }
 
 func (s *Server) handle(ctx context.Context, conn *websocket.Conn, req request) {
+	defer func() {
+		if cause := recover(); cause != nil { // a panic here would end the process, unlike in an HTTP handler
+			s.Log.Error("peer request failed", "kind", req.Kind, "cause", cause, "stack", string(debug.Stack()))
+			_ = conn.CloseNow() // the caller learns that the outcome is unknown
+		}
+	}()
 	ctx, stop := context.WithTimeout(ctx, time.Duration(req.TimeoutMS)*time.Millisecond)
 	defer stop()
 	res := s.dispatch(ctx, req)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -260,6 +261,11 @@
 
 // adoptJob restores a recorded job. Placed tasks count as running until their worker reports otherwise.
 func (o *Owner) adoptJob(id string, j *job) {
+	if err := j.check(); err != nil {
+		o.log.Error("malformed job skipped: its records stay in the store", "job", id, "err", err)
+		delete(o.jobs, id)
+		return
+	}
 	if j.progress == nil {
 		j.progress = workload.NewProgress(j.spec)
 		j.progress.CreateDue(j.spec, time.Now().UnixMilli())
@@ -293,9 +299,34 @@
 	}
 }
 
-// Run processes events until the term ends and returns the cause of its end.
-func (o *Owner) Run() error {
-	defer o.cancel(nil)
+// check returns the first reason why recorded parts of a job cannot be used. A malformed record must not end the
+// process: each successor would read it again.
+func (j *job) check() error {
+	switch {
+	case j.spec == nil && j.progress == nil:
+		return errors.NotFoundf("specification and progress")
+	case j.spec == nil:
+		return nil
+	}
+	if err := j.spec.Validate(); err != nil {
+		return err
+	}
+	if j.progress == nil {
+		return nil
+	}
+	return j.progress.Check(j.spec)
+}
+
+// Run processes events until the term ends and returns the cause of its end. A panic of the event loop ends the term,
+// not the process, which goes on as an entry.
+func (o *Owner) Run() (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Errorf("event loop failed: %v", cause)
+			o.log.Error("term ended by a panic", "cause", cause, "stack", string(debug.Stack()))
+		}
+		o.cancel(err)
+	}()
 	go o.followWorkers()
 	go o.followOperator()
 	if o.cfg.Control != nil {
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -113,6 +113,9 @@
 func (o *Owner) recordUpcoming(j *job, now time.Time) {
 	horizon := now.Add(o.cfg.Timing.MoveTime).UnixMilli()
 	j.demanded = max(j.demanded, j.progress.Created)
+	if behind := now.UnixMilli() - j.spec.FirstDueMS; behind > 0 && j.spec.PeriodMS > 0 {
+		j.demanded = max(j.demanded, int(min(behind/j.spec.PeriodMS, int64(j.spec.Repeats)))) // they wait already
+	}
 	for j.demanded < j.spec.Repeats && j.spec.FirstDueMS+int64(j.demanded)*j.spec.PeriodMS <= horizon {
 		j.demanded++
 		o.recordArrival(j.spec, now)
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -48,6 +48,10 @@
 
 // Submit implements jobs.Service.
 func (o *Owner) Submit(ctx context.Context, spec *workload.Job) error {
+	// An entry has validated the job, but a malformed message of another process must not reach the event loop.
+	if err := spec.Validate(); err != nil {
+		return &jobs.Rejection{Reason: err.Error(), Permanent: true}
+	}
 	return o.runInLoop(ctx, func(r reply) {
 		if j := o.jobs[spec.ID]; j != nil {
 			o.whenRecorded(j, func() { r.send(nil) })
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -121,7 +121,7 @@
 	if tasks > MaxTasks {
 		return errors.NotValidf("job of %d tasks (at most %d)", tasks, MaxTasks)
 	}
-	if j.Repeats < 0 || j.Repeats > 1 && j.PeriodMS < 1 {
+	if j.Repeats < 0 || j.Repeats > 1 && j.PeriodMS < 1 || j.PeriodMS < 0 {
 		return errors.NotValidf("schedule with %d occurrences every %d ms", j.Repeats, j.PeriodMS)
 	}
 	return nil
@@ -272,12 +272,43 @@
 	return j.FirstDueMS + int64(p.Created)*j.PeriodMS, p.Created < j.Repeats
 }
 
-// CreateDue creates the occurrences that are due at nowMS and reports whether there were any.
+// Check returns a NotValid error if the progress does not have the shape of the job, as after a malformed record.
+func (p *Progress) Check(j *Job) error {
+	for _, o := range p.Current {
+		if o == nil || len(o.Tasks) != len(j.Steps) {
+			return errors.NotValidf("occurrence of job %s with %d steps", j.ID, len(j.Steps))
+		}
+		for step, tasks := range o.Tasks {
+			if len(tasks) != j.Steps[step].Count {
+				return errors.NotValidf("step %d of job %s with %d tasks (%d are specified)", step, j.ID, len(tasks),
+					j.Steps[step].Count)
+			}
+		}
+	}
+	return nil
+}
+
+// hasRoom reports whether another occurrence may be created. The bound keeps the progress of a schedule that is far
+// behind, or that repeats faster than it is served, in one record of the store.
+func (p *Progress) hasRoom(j *Job) bool {
+	return len(p.Current) == 0 || (len(p.Current)+1)*j.taskCount() <= MaxTasks
+}
+
+func (j *Job) taskCount() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
+// CreateDue creates the occurrences that are due at nowMS, as far as there is room for them, and reports whether there
+// were any.
 func (p *Progress) CreateDue(j *Job, nowMS int64) bool {
 	created := false
 	for {
 		due, more := p.NextDueMS(j)
-		if !more || due > nowMS {
+		if !more || due > nowMS || !p.hasRoom(j) {
 			return created
 		}
 		o := &Occurrence{Number: p.Created, Tasks: make([][]Task, len(j.Steps))}
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -291,3 +291,56 @@
 		}
 	}
 }
+
+// Guards the owner against a schedule that is far behind: all of its occurrences would not fit into a record, and
+// creating them at once exhausted the memory of the process.
+func TestOccurrencesOfAScheduleFarBehindAreBounded(t *testing.T) {
+	j := &Job{ID: "0123456789abcdef", Queue: "q", Repeats: 1 << 40, PeriodMS: 1, Steps: []Step{{Count: 10}, {Count: 30}}}
+	if err := j.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	p := NewProgress(j)
+	p.CreateDue(j, 1<<41)
+	if want := MaxTasks / 40; len(p.Current) != want {
+		t.Errorf("%d occurrences, want %d", len(p.Current), want)
+	}
+	for i := range 10 {
+		ref := TaskRef{Occurrence: 0, Step: 0, Index: i}
+		if err := p.Place(ref, 1, "w", 1); err != nil {
+			t.Fatal(err)
+		}
+		p.EndRun(j, ref, 1, Succeeded, "", 3)
+	}
+	for i := range 30 {
+		ref := TaskRef{Occurrence: 0, Step: 1, Index: i}
+		if err := p.Place(ref, 1, "w", 1); err != nil {
+			t.Fatal(err)
+		}
+		p.EndRun(j, ref, 1, Succeeded, "", 3)
+	}
+	if p.CreateDue(j, 1<<41); p.Current[len(p.Current)-1].Number != MaxTasks/40 {
+		t.Error("an occurrence that ended was not followed by the next one")
+	}
+}
+
+// A malformed progress record must be recognised before its indices are used.
+func TestProgressOfAnotherShapeIsNotValid(t *testing.T) {
+	j := &Job{ID: "0123456789abcdef", Queue: "q", Steps: []Step{{Count: 2}, {Count: 1}}}
+	for name, o := range map[string]*Occurrence{
+		"no occurrence": nil,
+		"no step":       {},
+		"fewer steps":   {Tasks: [][]Task{make([]Task, 2)}},
+		"fewer tasks":   {Tasks: [][]Task{make([]Task, 1), make([]Task, 1)}},
+		"more tasks":    {Tasks: [][]Task{make([]Task, 2), make([]Task, 9)}},
+	} {
+		p := &Progress{Current: []*Occurrence{o}}
+		if err := p.Check(j); err == nil {
+			t.Errorf("%s: valid", name)
+		}
+	}
+	p := NewProgress(j)
+	p.CreateDue(j, 0)
+	if err := p.Check(j); err != nil {
+		t.Error(err)
+	}
+}
