Reject new jobs behind an append that the store does not answer

Ruled out: rejecting the job of the append itself, which may be recorded. Change: once an append stalls, new jobs that no append contains are withdrawn and rejected with a time to return; all calls that wait for such a job learn it. Test: owner.TestJobsBehindAStalledAppendAreRejected, seen to fail without the change.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -77,7 +77,7 @@
 			c.inFlight = false
 			for i, j := range dirtyJobs {
 				j.unrecordedChanges--
-				j.neverRecorded = false
+				j.neverRecorded, j.submissions = false, nil
 				j.recordedStatus = statuses[i]
 				j.notifyWaiters()
 			}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -131,6 +131,7 @@
 	specDeleted       bool        // the record of the specification was deleted
 	recordedStatus    jobs.Status // latest status acknowledged by the store
 	waiters           []func()    // called once the job's end is recorded
+	submissions       []reply     // calls to reject if the job is withdrawn before it is recorded
 	plan              plan
 	demanded          int // occurrences that count as demand on the pool
 }
@@ -399,6 +400,9 @@
 			o.replan = true
 		}
 	}
+	if o.appendAge() > storeStallLimit {
+		o.withdrawUnsent()
+	}
 	o.expireJobs(now)
 	o.forgetTickets()
 	o.updateGauges()
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -81,6 +81,49 @@
 	h.await("the second step runs", func() bool { return len(h.startsOf("a.0.1.0")) == 1 })
 }
 
+// A new job that waits behind an append that the store does not answer is rejected soon, not held until its caller's
+// deadline, and the rejection is true: it never runs unless it is submitted again.
+func TestJobsBehindAStalledAppendAreRejected(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1", 20*time.Millisecond)
+	o := h.startOwner(true)
+	h.store.SetFaults(topictest.Faults{Down: true})
+	first, behind := make(chan error, 1), make(chan error, 2)
+	go func() { first <- o.Submit(t.Context(), newJob("first", 1)) }()
+	h.await("an append is in flight", func() bool {
+		inFlight := make(chan bool, 1)
+		o.post(func() { inFlight <- o.commit.inFlight })
+		return <-inFlight
+	})
+	for range 2 { // a client may repeat its submission
+		go func() { behind <- o.Submit(t.Context(), newJob("behind", 1)) }()
+	}
+	for range 2 {
+		select {
+		case err := <-behind:
+			var rejection *jobs.Rejection
+			if !errors.As(err, &rejection) || rejection.Permanent || rejection.RetryAfter == 0 {
+				t.Fatalf("%v, want a rejection with a time to return", err)
+			}
+		case <-time.After(awaitTimeout):
+			t.Fatal("the submission is held")
+		}
+	}
+	h.store.SetFaults(topictest.Faults{})
+	if err := <-first; err != nil {
+		t.Errorf("the job of the append in flight: %v", err)
+	}
+	h.awaitState(o, "first", workload.Completed)
+	if _, err := o.Status(t.Context(), "behind", "org"); !errors.Is(err, jobs.ErrNoSuchJob) {
+		t.Errorf("status of the rejected job: %v", err)
+	}
+	h.submit(o, newJob("behind", 1))
+	h.awaitState(o, "behind", workload.Completed)
+	if n := len(h.startsOf("behind.0.0.0")); n != 1 {
+		t.Errorf("%d runs of the job that was submitted again, want 1", n)
+	}
+}
+
 // Lost responses to appends must not cause a second run or lose a run end.
 func TestLostAppendResponses(t *testing.T) {
 	h := newHarness(t)
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -54,12 +54,12 @@
 	}
 	return o.runInLoop(ctx, func(r reply) {
 		if j := o.jobs[spec.ID]; j != nil {
-			o.whenRecorded(j, func() { r.send(nil) })
+			o.acknowledge(j, r)
 			return
 		}
 		if age := o.appendAge(); age > storeStallLimit {
 			o.metrics.rejected.Inc(1)
-			r.send(&jobs.Rejection{Reason: "the store does not answer", RetryAfter: storeRetryAfter, Overloaded: true})
+			r.send(storeStalled())
 			return
 		}
 		if rejection := o.admit(spec); rejection != nil {
@@ -80,13 +80,46 @@
 		j.progress.CreateDue(spec, time.Now().UnixMilli())
 		o.markDirty(j)
 		o.replan = true
-		o.afterCommit(func() { r.send(nil) })
+		o.acknowledge(j, r)
 		o.metrics.accepted.Inc(1)
 		o.log.Info("job accepted", "job", spec.ID, "queue", spec.Queue, "organisation", spec.Organisation,
 			"steps", len(spec.Steps))
 	})
 }
 
+// acknowledge answers a submission once its job is recorded. A job that is withdrawn before rejects it instead.
+func (o *Owner) acknowledge(j *job, r reply) {
+	if j.neverRecorded {
+		j.submissions = append(j.submissions, r)
+	}
+	o.whenRecorded(j, func() { r.send(nil) })
+}
+
+// withdrawUnsent rejects the new jobs that wait for an append behind one that the store does not answer. No append
+// contains them, so the rejection is true, and their clients may return instead of waiting until their deadline.
+func (o *Owner) withdrawUnsent() {
+	kept := o.commit.dirtyJobs[:0]
+	for _, j := range o.commit.dirtyJobs {
+		if j.specWritten || !j.neverRecorded || j.progress.State != workload.Active {
+			kept = append(kept, j)
+			continue
+		}
+		o.log.Info("job withdrawn: the store does not answer", "job", j.spec.ID, "append_ms", o.appendAge().Milliseconds())
+		o.metrics.rejected.Inc(1)
+		delete(o.jobs, j.spec.ID)
+		delete(o.active, j.spec.ID)
+		for _, r := range j.submissions {
+			r.send(storeStalled())
+		}
+	}
+	o.commit.dirtyJobs = kept
+}
+
+// storeStalled returns the rejection of a job while the store does not answer.
+func storeStalled() *jobs.Rejection {
+	return &jobs.Rejection{Reason: "the store does not answer", RetryAfter: storeRetryAfter, Overloaded: true}
+}
+
 // whenRecorded runs an effect once all changes of a job are recorded.
 func (o *Owner) whenRecorded(j *job, effect func()) {
 	if j.unrecordedChanges == 0 {
@@ -112,7 +145,14 @@
 func (o *Owner) Status(ctx context.Context, id, organisation string) (jobs.Status, error) {
 	var status jobs.Status
 	err := o.runForJob(ctx, id, organisation, func(j *job, r reply) {
-		respond := func() { status = j.recordedStatus; r.send(nil) }
+		respond := func() {
+			if o.jobs[id] != j {
+				r.send(jobs.ErrNoSuchJob) // it was withdrawn meanwhile
+				return
+			}
+			status = j.recordedStatus
+			r.send(nil)
+		}
 		if j.neverRecorded {
 			o.afterCommit(respond)
 			return
@@ -141,6 +181,9 @@
 func (o *Owner) Await(ctx context.Context, id, organisation string) (jobs.Status, error) {
 	var status jobs.Status
 	err := o.runForJob(ctx, id, organisation, func(j *job, r reply) {
+		if j.neverRecorded {
+			j.submissions = append(j.submissions, r) // a withdrawn job never ends
+		}
 		j.waiters = append(j.waiters, func() { status = j.recordedStatus; r.send(nil) })
 		j.notifyWaiters()
 	})
