Test the operators' faults of silent workers, paused owners and departed workers; log ordered ends as such

Change: such a worker 'left', the state has its name; the need of long-running tasks is computed in one pass over the jobs instead of one for each pool. Tests: owner.TestBrieflySilentWorkerKeepsItsRuns, TestPausedOwnerStartsNothing and TestRestartedOwnerIgnoresDepartedWorker hold on the code as it was. TestPausedOwnerStartsNothing was seen to fail without the checks of the term's age. The last one was not seen to fail: without the check of the registration a second guard holds, since the address of a worker comes from the directory only and no session is opened without it.

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -477,3 +477,69 @@
 		h.awaitState(second, id, workload.Completed)
 	}
 }
+
+// A worker that is silent for less than its lease keeps its runs: nothing starts elsewhere and nothing is given up, also
+// if its entry in the directory lapses meanwhile.
+func TestBrieflySilentWorkerKeepsItsRuns(t *testing.T) {
+	h := newHarness(t)
+	silent := h.addWorker("w1", 0)
+	o := h.startOwner(true)
+	h.submit(o, newJob("a", 2))
+	h.submit(o, longRunningJob("b", 1, 1))
+	h.await("the tasks run", func() bool { return len(silent.Running()) == 3 })
+	h.addWorker("w2", 0)
+	established := func() bool { return workersWithSession(o)["w1"] }
+	silent.SetUnresponsive(true)
+	h.store.Put("workers", "w1", nil)
+	h.await("the silence is noticed", func() bool { return !established() })
+	silent.SetUnresponsive(false)
+	h.await("the worker is back", established)
+	h.store.Put("workers", "w1", encodeJSON(t, h.workerInfos["w1"]))
+	silent.EndRun("a.0.0.0", workers.Done)
+	silent.EndRun("a.0.0.1", workers.Done)
+	h.awaitState(o, "a", workload.Completed)
+	if n := len(h.fleet.Starts()); n != 3 {
+		t.Errorf("%d starts, want 3: %v", n, h.fleet.Starts())
+	}
+}
+
+// An owner that has not renewed its record for maxRenewalAge, as after a pause of its process, starts nothing and renews
+// no lease; once it knows that it has not been replaced, it goes on.
+func TestPausedOwnerStartsNothing(t *testing.T) {
+	h := newHarness(t)
+	worker := h.addWorker("w1", 0)
+	o := h.startOwner(true)
+	h.await("the worker has a session", func() bool { return workersWithSession(o)["w1"] })
+	o.pauseRenewals()
+	h.await("the term is old", func() bool { return !o.leading() })
+	h.submit(o, newJob("a", 1))
+	rounds := make(chan struct{})
+	o.post(func() { o.place(); o.flush(); close(rounds) })
+	<-rounds
+	if n := len(worker.Running()); n != 0 {
+		t.Errorf("%d runs started by an owner that may have been replaced", n)
+	}
+	o.noRenewals.Store(false)
+	h.await("the task runs", func() bool { return len(worker.Running()) == 1 })
+}
+
+// A restarted owner must not use a worker that left while there was no owner, although the worker still answers and runs
+// a task that an earlier owner placed.
+func TestRestartedOwnerIgnoresDepartedWorker(t *testing.T) {
+	h := newHarness(t)
+	departed := h.addWorker("w1", 0)
+	first := h.startOwner(true)
+	h.submit(first, newJob("a", 1))
+	h.await("the task runs", func() bool { return len(departed.Running()) == 1 })
+	first.stop()
+	h.store.Put("workers", "w1", nil)
+	h.addWorker("w2", 20*time.Millisecond)
+	second := h.startOwner(true)
+	h.submit(second, newJob("b", 3))
+	h.awaitState(second, "b", workload.Completed)
+	for _, s := range h.fleet.Starts() {
+		if s.Task != "a.0.0.0" && s.Worker != "w2" {
+			t.Errorf("%s started on %s, which has left", s.Task, s.Worker)
+		}
+	}
+}
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -22,9 +23,10 @@
 // balancePools moves idle instances to pools with pending work and unneeded ones to standby pools.
 func (o *Owner) balancePools(now time.Time) {
 	states := map[string]*pool.State{}
+	needed := o.instancesNeeded()
 	for _, p := range o.cfg.Catalog().Pools {
 		states[p.Name] = &pool.State{Name: p.Name, Standby: p.Standby, PendingCPU: o.pendingCPU[p.Name],
-			InstancesNeeded: o.instancesNeeded(p.Name)}
+			InstancesNeeded: needed[p.Name]}
 		if demand := o.demands[p.Name]; demand != nil {
 			states[p.Name].ForecastCPU = demand.ForecastCPU(now, o.cfg.Timing.MoveTime, o.limitCPU)
 		}
@@ -245,19 +247,19 @@
 	}
 }
 
-// instancesNeeded returns how many more instances a pool needs for long-running tasks: the number of blocked evictions
-// or the highest number of unplaceable tasks in a step, whichever is larger.
-func (o *Owner) instancesNeeded(name string) int {
-	needed := o.blockedEvictions[name]
+// instancesNeeded returns how many more instances each pool needs for long-running tasks: the number of blocked
+// evictions or the highest number of unplaceable tasks in a step, whichever is larger.
+func (o *Owner) instancesNeeded() map[string]int {
+	needed := maps.Clone(o.blockedEvictions)
 	for _, j := range o.active {
 		q := o.cfg.Catalog().Queues[j.spec.Queue]
-		if q == nil || q.Pool != name || !j.spec.IsLongRunning() {
+		if q == nil || !j.spec.IsLongRunning() {
 			continue
 		}
 		for _, occurrence := range j.progress.Current {
 			for step := range j.spec.Steps {
 				if j.spec.Steps[step].LongRunning && occurrence.Ready(j.spec, step) {
-					needed = max(needed, o.countUnplaceable(j, occurrence, step))
+					needed[q.Pool] = max(needed[q.Pool], o.countUnplaceable(j, occurrence, step))
 				}
 			}
 		}
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -263,7 +263,7 @@
 	o.ended = append(o.ended, endedJob{id, j.progress.EndedMS})
 	o.markDirty(j)
 	o.metrics.ended[j.progress.State.String()].Inc(1)
-	o.log.Info("job ended", "job", id, "state", j.progress.State, "ms", j.progress.EndedMS-j.spec.ReceivedMS)
+	o.log.Info("job ended", "job", id, "state", j.progress.State.String(), "ms", j.progress.EndedMS-j.spec.ReceivedMS)
 	for _, w := range o.workers {
 		for _, p := range w.runs {
 			if p.job == j {
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 
 	"github.com/pollenford/pollenford/internal/topic"
@@ -332,11 +331,11 @@
 		return
 	}
 	if w.sessionEstablished {
-		level := hclog.Warn
 		if w.cordoned && len(w.runs) == 0 {
-			level = hclog.Info // expected: its instance was drained for a move or maintenance
+			o.log.Info("worker left: its instance moves or is maintained", "worker", w.info.ID)
+		} else {
+			o.log.Warn("worker lost", "worker", w.info.ID, "runs", len(w.runs), "err", err)
 		}
-		o.log.Log(level, "worker lost", "worker", w.info.ID, "runs", len(w.runs), "err", err)
 		w.sessionEstablished = false
 		o.recordLoss(w)
 	}
