--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -2,7 +2,7 @@
 package catalog
 
 import (
-	"sort"
+	"slices"
 	"strings"
 	"time"
 
@@ -98,7 +98,25 @@
 	Document []byte
 
 	keys   map[string]*Organisation
-	byHost map[string][]*Queue // longest prefix first
+	byHost map[string]*hostRoutes
+}
+
+// hostRoutes finds the queue of a path with one look-up for each distinct length of the host's prefixes, because a
+// configuration may hold thousands of queues.
+type hostRoutes struct {
+	byPrefix map[string]*Queue
+	lengths  []int // distinct lengths of the prefixes, longest first
+}
+
+func (h *hostRoutes) add(q *Queue) {
+	if h.byPrefix[q.Prefix] != nil {
+		return // the first queue keeps the prefix, check reports the other
+	}
+	h.byPrefix[q.Prefix] = q
+	at, found := slices.BinarySearchFunc(h.lengths, len(q.Prefix), func(length, target int) int { return target - length })
+	if !found {
+		h.lengths = slices.Insert(h.lengths, at, len(q.Prefix))
+	}
 }
 
 // New returns the indexed catalog of a configuration, with its findings.
@@ -106,16 +124,16 @@
 	c := &Catalog{
 		Version: version, Limits: limits,
 		Queues: map[string]*Queue{}, Pools: map[string]*Pool{}, Organisations: map[string]*Organisation{},
-		keys: map[string]*Organisation{}, byHost: map[string][]*Queue{},
+		keys: map[string]*Organisation{}, byHost: map[string]*hostRoutes{},
 	}
 	c.Findings = check(queues, pools, organisations)
 	for _, q := range queues {
 		c.Queues[q.Name] = q
 		host := strings.ToLower(q.Host)
-		c.byHost[host] = append(c.byHost[host], q)
-	}
-	for _, list := range c.byHost {
-		sort.SliceStable(list, func(i, k int) bool { return len(list[i].Prefix) > len(list[k].Prefix) })
+		if c.byHost[host] == nil {
+			c.byHost[host] = &hostRoutes{byPrefix: map[string]*Queue{}}
+		}
+		c.byHost[host].add(q)
 	}
 	for _, p := range pools {
 		c.Pools[p.Name] = p
@@ -134,9 +152,16 @@
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
 		host = host[:colon]
 	}
-	for _, q := range c.byHost[strings.ToLower(host)] {
-		if strings.HasPrefix(path, q.Prefix) {
-			return q, path[len(q.Prefix):]
+	routes := c.byHost[strings.ToLower(host)]
+	if routes == nil {
+		return nil, ""
+	}
+	for _, length := range routes.lengths {
+		if length > len(path) {
+			continue
+		}
+		if q := routes.byPrefix[path[:length]]; q != nil {
+			return q, path[length:]
 		}
 	}
 	return nil, ""
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 // Guards routing: the longest prefix of the host wins, and hosts match without port and case.
 func TestRoute(t *testing.T) {
@@ -27,6 +30,43 @@
 	}
 }
 
+// Many routes: with 1,400 queues on one host a request is routed by a few look-ups. The benchmark shows its time at two
+// sizes.
+func TestRouteAmongManyQueues(t *testing.T) {
+	c := manyQueues(1400)
+	for _, i := range []int{0, 7, 1399} {
+		q, suffix := c.Route("a.example", fmt.Sprintf("/queue%d/zone/%d", i, i))
+		if q == nil || q.Name != fmt.Sprint("q", i) || suffix != fmt.Sprint(i) {
+			t.Errorf("queue %d: %+v, suffix %q", i, q, suffix)
+		}
+	}
+	if q, _ := c.Route("a.example", "/queue1400/zone/1"); q != nil {
+		t.Errorf("a path without a queue: %+v", q)
+	}
+	if n := len(c.byHost["a.example"].lengths); n > 4 {
+		t.Errorf("%d look-ups for a path, want one for each of the 4 lengths of prefixes", n)
+	}
+}
+
+func manyQueues(n int) *Catalog {
+	var queues []*Queue
+	for i := range n {
+		queues = append(queues, &Queue{Name: fmt.Sprint("q", i), Host: "a.example", Prefix: fmt.Sprintf("/queue%d/zone/", i)})
+	}
+	return New(1, queues, nil, nil, HTTPLimits{})
+}
+
+func BenchmarkRoute(b *testing.B) {
+	for _, n := range []int{14, 1400} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := manyQueues(n)
+			for b.Loop() {
+				c.Route("a.example", "/queue13/zone/1")
+			}
+		})
+	}
+}
+
 // Guards limits: usage is bounded in limited resources and unbounded in the others.
 func TestLimitAllows(t *testing.T) {
 	o := &Organisation{Limit: Resources{CPU: 1000}}
