Let another instance take over when the owner alone loses the store

Change: an owner whose renewal fails says so in its rejections; an entry that then reads the store successfully, and only then, begins an election, stronger instances first. In an outage for all the owner stays. Ruled out: a quorum of entries that miss the owner's answers, because entries that are cut off together would replace a sound owner. Tests: leader.TestCutOwnerIsReplacedAtOnce and TestCutOwnerStaysInAnOutageForAll, both seen to fail without their part.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -197,14 +197,17 @@
 		if service := e.owner(a); service != nil {
 			err := call(service)
 			var rejection *jobs.Rejection
+			if errors.As(err, &rejection) && rejection.CutOwner != 0 {
+				e.Elector.SuspectCut(rejection.CutOwner)
+			}
 			switch {
 			case errors.Is(err, jobs.ErrStaleConfig):
 				// The call has activated the owner's newer configuration here.
 			case errors.Is(err, jobs.ErrOutcomeUnknown):
 				outcomeUnknown = outcomeUnknown || kind == mutating
-			case errors.As(err, &rejection) && !rejection.Permanent && !rejection.Overloaded:
+			case rejection != nil && !rejection.Permanent && !rejection.Overloaded:
 				// The called instance is not, or no longer, the owner.
-			case errors.As(err, &rejection) && outcomeUnknown:
+			case rejection != nil && outcomeUnknown:
 				// An earlier attempt may have been recorded, so this rejection is not conclusive.
 			default:
 				return err
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -31,6 +31,8 @@
 	Permanent bool
 	// Overloaded means that the system works but has no capacity for the call.
 	Overloaded bool
+	// CutOwner is the fence of an owner that rejects the call because it cannot renew its own record; 0 otherwise.
+	CutOwner int64 `cbor:",omitempty"`
 }
 
 func (r *Rejection) Error() string {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -32,6 +32,9 @@
 	maxInitialCampaignDelay = 1200 * time.Millisecond
 	// maxCampaignDelay is the same after the loss of an owner: a small part of the time that detecting the loss takes.
 	maxCampaignDelay = 120 * time.Millisecond
+	// maxCutOwnerDelay is the same before the weakest instance acts on an owner that cannot renew its record: several
+	// instances of a large deployment learn of it in that time.
+	maxCutOwnerDelay = 400 * time.Millisecond
 )
 
 const (
@@ -58,6 +61,8 @@
 	PredecessorEnded bool
 	// renewedAt is the boot-time clock in nanoseconds at which the last successful renewal was sent.
 	renewedAt atomic.Int64
+	// renewalFailing reports whether the latest renewal failed.
+	renewalFailing atomic.Bool
 }
 
 // NewTerm returns a term that was won now.
@@ -70,6 +75,10 @@
 // MarkRenewed records that the owner had not been replaced by now.
 func (t *Term) MarkRenewed() { t.renewedAt.Store(bootTime()) }
 
+// RenewalFailing reports whether the store did not accept the latest renewal: it may be unavailable, or reject this
+// instance alone.
+func (t *Term) RenewalFailing() bool { return t.renewalFailing.Load() }
+
 // Age returns the time since the owner last knew that it had not been replaced, including time in suspension.
 func (t *Term) Age() time.Duration { return time.Duration(bootTime() - t.renewedAt.Load()) }
 
@@ -108,6 +117,7 @@
 	storeFailing   bool
 	ownerSuspected atomic.Bool
 	endedFence     atomic.Int64 // fence of an owner whose process has certainly ended
+	cutFence       atomic.Int64 // fence of an owner that says that it cannot renew its record
 }
 
 // Current returns the owner as last read from the store. It returns false if none is known or it released its record.
@@ -134,6 +144,32 @@
 	}
 }
 
+// SuspectCut reports that the owner with the given fence says that it cannot renew its record. It is suspected once a
+// read shows that the store answers this instance; in an outage of the store for all, it stays the owner.
+func (e *Elector) SuspectCut(fence int64) {
+	if owner, ok := e.Current(); ok && owner.Fence == fence && owner.Name != e.Self.Name && e.cutFence.Swap(fence) != fence {
+		e.Wake()
+	}
+}
+
+// checkCutOwner suspects an owner that cannot renew its record if the store answers this instance.
+func (e *Elector) checkCutOwner(ctx context.Context) {
+	fence := e.cutFence.Swap(0)
+	if owner, ok := e.Current(); fence == 0 || !ok || owner.Fence != fence {
+		return
+	}
+	// Stronger instances learn of it as well, from their own callers.
+	wait.For(ctx, time.Duration(e.CampaignDelayFactor*float64(maxCutOwnerDelay)))
+	readCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := e.read(readCtx, 0); err != nil {
+		e.Log.Info("owner cannot renew its record, nor does the store answer here", "fence", fence, "err", err)
+		return
+	}
+	e.Log.Info("owner cannot renew its record, but the store answers here", "fence", fence)
+	e.Suspect(fence)
+}
+
 // Wake makes Run reconsider at once whether to campaign, rather than at the end of the poll in flight. Call it when
 // Eligible may have changed.
 func (e *Elector) Wake() {
@@ -211,6 +247,7 @@
 				return
 			}
 			if errors.Is(err, errWoken) {
+				e.checkCutOwner(ctx)
 				e.campaignIfPossible(ctx)
 				continue
 			}
@@ -417,6 +454,7 @@
 		err := e.write(ctx, o)
 		if err == nil {
 			term.renewedAt.Store(sent)
+			term.renewalFailing.Store(false)
 			pause = renewInterval
 			continue
 		}
@@ -425,7 +463,8 @@
 			return
 		}
 		if ctx.Err() == nil {
-			e.Log.Warn("owner record renewal failed", "age", term.Age(), "err", err)
+			term.renewalFailing.Store(true)
+			e.Log.Warn("owner record renewal failed", "age_ms", term.Age().Milliseconds(), "err", err)
 		}
 		pause = retryInterval
 	}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 
+	"github.com/pollenford/pollenford/internal/topic"
 	"github.com/pollenford/pollenford/internal/topic/topictest"
 )
 
@@ -23,11 +24,11 @@
 	predecessorEnded atomic.Bool
 }
 
-func join(t *testing.T, store *topictest.Store, name string) *candidate {
+func join(t *testing.T, store topic.Store, name string) *candidate {
 	return joinAs(t, store, name, 0)
 }
 
-func joinAs(t *testing.T, store *topictest.Store, name string, delayFactor float64) *candidate {
+func joinAs(t *testing.T, store topic.Store, name string, delayFactor float64) *candidate {
 	ctx, stop := context.WithCancel(context.Background())
 	c := &candidate{stop: stop}
 	c.elector = &Elector{
@@ -265,3 +266,53 @@
 		}
 	}
 }
+
+// rejectingStore rejects the appends of one instance while switched on, as a store that turns some machines away.
+type rejectingStore struct {
+	topic.Store
+	on atomic.Bool
+}
+
+func (s *rejectingStore) Append(ctx context.Context, name topic.Name, batch topic.Batch) (int64, int64, error) {
+	if s.on.Load() {
+		return 0, 0, topic.ErrNotApplied
+	}
+	return s.Store.Append(ctx, name, batch)
+}
+
+// Guards the time without an owner when the store turns the owner alone away: told by the owner, another instance for
+// which the store answers takes over without waiting for the record to expire.
+func TestCutOwnerIsReplacedAtOnce(t *testing.T) {
+	store := &topictest.Store{}
+	cut := &rejectingStore{Store: store}
+	a := join(t, cut, "a")
+	await(t, "a serves", func() bool { return a.serving.Load() > 0 })
+	fence := a.serving.Load()
+	b := join(t, store, "b")
+	await(t, "b knows the owner", func() bool { _, ok := b.elector.Current(); return ok })
+	cut.on.Store(true)
+	lastSeen := time.Now()
+	b.elector.SuspectCut(fence)
+	await(t, "b serves", func() bool { return b.serving.Load() > fence })
+	if took := time.Since(lastSeen); took > RecordTTL/2 {
+		t.Errorf("replaced after %v, the expiry takes %v", took, RecordTTL)
+	}
+}
+
+// An outage of the store for all must not make the owner suspected: its runs go on under their leases, and another
+// owner could do no more.
+func TestCutOwnerStaysInAnOutageForAll(t *testing.T) {
+	store := &topictest.Store{}
+	e := &Elector{Store: store, Log: hclog.NewNullLogger(), Self: Owner{Name: "a"}, Eligible: func() bool { return true }}
+	if err := e.poll(t.Context(), 0); err != nil {
+		t.Fatal(err)
+	}
+	e.setOwner(Owner{Name: "b", Fence: 7})
+	store.SetFaults(topictest.Faults{Down: true})
+	e.SuspectCut(7)
+	<-e.wakeChannel()
+	e.checkCutOwner(t.Context())
+	if e.ownerSuspected.Load() {
+		t.Error("the owner is suspected although the store answers nobody")
+	}
+}
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -20,6 +20,9 @@
 // storeRetryAfter is the retry delay sent to clients while the store does not respond.
 const storeRetryAfter = 2 * time.Second
 
+// cutRetryAfter is the same while the store may answer other instances, one of which then takes over.
+const cutRetryAfter = time.Second
+
 // reply carries the result of a call; only the first send counts.
 type reply chan error
 
@@ -59,7 +62,7 @@
 		}
 		if age := o.appendAge(); age > storeStallLimit {
 			o.metrics.rejected.Inc(1)
-			r.send(storeStalled())
+			r.send(o.storeStalled())
 			return
 		}
 		if rejection := o.admit(spec); rejection != nil {
@@ -109,15 +112,20 @@
 		delete(o.jobs, j.spec.ID)
 		delete(o.active, j.spec.ID)
 		for _, r := range j.submissions {
-			r.send(storeStalled())
+			r.send(o.storeStalled())
 		}
 	}
 	o.commit.dirtyJobs = kept
 }
 
-// storeStalled returns the rejection of a job while the store does not answer.
-func storeStalled() *jobs.Rejection {
-	return &jobs.Rejection{Reason: "the store does not answer", RetryAfter: storeRetryAfter, Overloaded: true}
+// storeStalled returns the rejection of a job while the store does not answer. If the owner cannot renew its record
+// either, the rejection says so: another instance may take over if the store answers it.
+func (o *Owner) storeStalled() *jobs.Rejection {
+	rejection := &jobs.Rejection{Reason: "the store does not answer", RetryAfter: storeRetryAfter, Overloaded: true}
+	if o.term.RenewalFailing() {
+		rejection.CutOwner, rejection.RetryAfter = o.term.Fence, cutRetryAfter
+	}
+	return rejection
 }
 
 // whenRecorded runs an effect once all changes of a job are recorded.
