Keep the owner at the end of an outage, and let strong instances win after a restart of all

Change: an instance that the store failed within the last RecordTTL does not act on a cut owner; within a second of its own start it defers its campaign for longer. Test: leader.TestCutOwnerStaysInAnOutageForAll, its second part seen to fail without the change.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -32,6 +32,10 @@
 	maxInitialCampaignDelay = 1200 * time.Millisecond
 	// maxCampaignDelay is the same after the loss of an owner: a small part of the time that detecting the loss takes.
 	maxCampaignDelay = 120 * time.Millisecond
+	// maxRestartCampaignDelay is the same within startupTime of an instance's own start: after a restart of all, stronger
+	// instances may not have read their configuration yet.
+	maxRestartCampaignDelay = 500 * time.Millisecond
+	startupTime             = time.Second
 	// maxCutOwnerDelay is the same before the weakest instance acts on an owner that cannot renew its record: several
 	// instances of a large deployment learn of it in that time.
 	maxCutOwnerDelay = time.Second
@@ -115,6 +119,8 @@
 	nextOffset     int64         // next to read; negative before the first snapshot
 	lastSeen       time.Time     // of the last record, the end of this instance's term or the end of a store outage
 	storeFailing   bool
+	lastFailure    time.Time // of a read of the store
+	startedAt      time.Time // of Run
 	ownerSuspected atomic.Bool
 	endedFence     atomic.Int64 // fence of an owner whose process has certainly ended
 	cutFence       atomic.Int64 // fence of an owner that says that it cannot renew its record
@@ -158,11 +164,15 @@
 	if owner, ok := e.Current(); fence == 0 || !ok || owner.Fence != fence {
 		return
 	}
+	if !e.lastFailure.IsZero() && time.Since(e.lastFailure) < RecordTTL {
+		return // an outage that reaches this instance ends: the owner is about to renew its record
+	}
 	// Stronger instances learn of it as well, from their own callers.
 	wait.For(ctx, time.Duration(e.CampaignDelayFactor*float64(maxCutOwnerDelay)))
 	readCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := e.read(readCtx, 0); err != nil {
+		e.lastFailure = time.Now()
 		e.Log.Info("owner cannot renew its record, nor does the store answer here", "fence", fence, "err", err)
 		return
 	}
@@ -240,7 +250,7 @@
 
 // Run takes part in the election until ctx ends. An owner releases its record before Run returns.
 func (e *Elector) Run(ctx context.Context) {
-	e.nextOffset = -1
+	e.nextOffset, e.startedAt = -1, time.Now()
 	for ctx.Err() == nil {
 		if err := e.poll(ctx, e.pollTimeout()); err != nil {
 			if ctx.Err() != nil {
@@ -251,6 +261,7 @@
 				e.campaignIfPossible(ctx)
 				continue
 			}
+			e.lastFailure = time.Now()
 			if !e.storeFailing {
 				e.storeFailing = true
 				e.Log.Warn("store became unavailable", "err", err)
@@ -278,6 +289,8 @@
 	maxDelay := maxCampaignDelay
 	if _, known := e.lastOwner(); !known {
 		maxDelay = maxInitialCampaignDelay
+	} else if time.Since(e.startedAt) < startupTime {
+		maxDelay = maxRestartCampaignDelay
 	}
 	deadline := time.Now().Add(time.Duration(e.CampaignDelayFactor * float64(maxDelay)))
 	for remaining := time.Until(deadline); remaining > 0; remaining = time.Until(deadline) {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -343,4 +343,11 @@
 	if e.ownerSuspected.Load() {
 		t.Error("the owner is suspected although the store answers nobody")
 	}
+	store.SetFaults(topictest.Faults{}) // the owner's next renewal will succeed
+	e.SuspectCut(7)
+	<-e.wakeChannel()
+	e.checkCutOwner(t.Context())
+	if e.ownerSuspected.Load() {
+		t.Error("the owner is suspected at the end of an outage for all")
+	}
 }
