Reject schedules whose due times overflow

Cause: with 2^40 occurrences every 2^40 ms a due time overflows, counts as past, and the loops over due occurrences go on. Test: a new case of owner.TestMalformedJobIsRejected; without the check it is accepted.

--- a/internal/owner/malformed_test.go
+++ b/internal/owner/malformed_test.go
@@ -18,10 +18,11 @@
 	h.addWorker("w1", 20*time.Millisecond)
 	o := h.startOwner(true)
 	for name, change := range map[string]func(*workload.Job){
-		"no steps":          func(j *workload.Job) { j.Steps = nil },
-		"unknown step":      func(j *workload.Job) { j.Steps[0].After = []int{7} },
-		"step after itself": func(j *workload.Job) { j.Steps[0].After = []int{0} },
-		"negative count":    func(j *workload.Job) { j.Steps[0].Count = -1 },
+		"no steps":                           func(j *workload.Job) { j.Steps = nil },
+		"unknown step":                       func(j *workload.Job) { j.Steps[0].After = []int{7} },
+		"step after itself":                  func(j *workload.Job) { j.Steps[0].After = []int{0} },
+		"due times beyond the range of time": func(j *workload.Job) { j.Repeats, j.PeriodMS = 1<<40, 1<<40 },
+		"negative count":                     func(j *workload.Job) { j.Steps[0].Count = -1 },
 	} {
 		j := newJob("bad", 1)
 		change(j)
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -90,6 +90,8 @@
 const (
 	// MaxTasks bounds the tasks of one occurrence, so that its progress fits into one record of the store.
 	MaxTasks = 4000
+	// maxDueMS bounds the due times of a schedule, in Unix milliseconds, so that their sums do not overflow.
+	maxDueMS = 1 << 61
 	// MaxSpecBytes bounds the specification of a job, as published for clients.
 	MaxSpecBytes = 4000
 )
@@ -124,6 +126,9 @@
 	if j.Repeats < 0 || j.Repeats > 1 && j.PeriodMS < 1 || j.PeriodMS < 0 {
 		return errors.NotValidf("schedule with %d occurrences every %d ms", j.Repeats, j.PeriodMS)
 	}
+	if max(j.FirstDueMS, -j.FirstDueMS) > maxDueMS || j.PeriodMS > 0 && int64(j.Repeats) > maxDueMS/j.PeriodMS {
+		return errors.NotValidf("schedule from %d ms on with %d occurrences every %d ms", j.FirstDueMS, j.Repeats, j.PeriodMS)
+	}
 	return nil
 }
 
