--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -302,6 +302,30 @@
 	}
 }
 
+// Guards the choice of the successor of a cut owner: a strong instance wins although a weak one learns of the cut first.
+// A weak one once took over (ligeira-nordeste-grown, incident, 18.7 s) and could not keep up.
+func TestStrongInstanceReplacesCutOwner(t *testing.T) {
+	store := &topictest.Store{}
+	cut := &rejectingStore{Store: store}
+	a := join(t, cut, "a")
+	await(t, "a serves", func() bool { return a.serving.Load() > 0 })
+	fence := a.serving.Load()
+	weak, strong := joinAs(t, store, "weak", 1), joinAs(t, store, "strong", 0)
+	for _, c := range []*candidate{weak, strong} {
+		await(t, "the owner is known", func() bool { _, ok := c.elector.Current(); return ok })
+	}
+	started := time.Now()
+	await(t, "nobody has just started", func() bool { return time.Since(started) > startupTime })
+	cut.on.Store(true)
+	weak.elector.SuspectCut(fence)
+	time.Sleep(maxCutOwnerDelay / 4) // the time by which the strong one learns of it later
+	strong.elector.SuspectCut(fence)
+	await(t, "a successor serves", func() bool { return servingFence(weak, strong) > fence })
+	if weak.serving.Load() > 0 {
+		t.Error("the weak instance took over")
+	}
+}
+
 // Guards the hand-over while the store does not answer at once: a stopping owner tries again to release its record. A
 // single attempt left ligeira-nordeste without an owner for 3.3 s (its incident, 13.0 s).
 func TestReleaseIsRepeated(t *testing.T) {
