Leave a cut owner to strong instances, and wake the election from the node

Change: only instances with half of the strongest owner's processor or more act on a cut owner. The node wakes it now. Test: leader.TestStrongInstanceReplacesCutOwner, fails without the rule.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,9 +64,6 @@
 		if e.catalog.CompareAndSwap(old, c) {
 			e.Log.Info("configuration activated", "version", c.Version,
 				"queues", len(c.Queues), "organisations", len(c.Organisations))
-			if old == nil {
-				e.Elector.Wake() // the instance has become eligible as the owner
-			}
 			return
 		}
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -36,9 +36,12 @@
 	// instances may not have read their configuration yet.
 	maxRestartCampaignDelay = 500 * time.Millisecond
 	startupTime             = time.Second
-	// maxCutOwnerDelay is the same before the weakest instance acts on an owner that cannot renew its record: several
-	// instances of a large deployment learn of it in that time.
-	maxCutOwnerDelay = time.Second
+	// maxCutOwnerDelay is the same before an instance acts on an owner that cannot renew its record: several instances of
+	// a large deployment learn of it in that time.
+	maxCutOwnerDelay = 400 * time.Millisecond
+	// maxCutOwnerFactor is the highest campaign delay factor of an instance that acts on such an owner. A weaker one could
+	// win although a strong one exists that has not learned of it; at the record's expiry all of them campaign.
+	maxCutOwnerFactor = 0.5
 )
 
 const (
@@ -153,7 +156,11 @@
 // SuspectCut reports that the owner with the given fence says that it cannot renew its record. It is suspected once a
 // read shows that the store answers this instance; in an outage of the store for all, it stays the owner.
 func (e *Elector) SuspectCut(fence int64) {
-	if owner, ok := e.Current(); ok && owner.Fence == fence && owner.Name != e.Self.Name && e.cutFence.Swap(fence) != fence {
+	owner, ok := e.Current()
+	if !ok || owner.Fence != fence || owner.Name == e.Self.Name || e.CampaignDelayFactor > maxCutOwnerFactor {
+		return
+	}
+	if e.cutFence.Swap(fence) != fence {
 		e.Wake()
 	}
 }
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -318,7 +318,7 @@
 	await(t, "nobody has just started", func() bool { return time.Since(started) > startupTime })
 	cut.on.Store(true)
 	weak.elector.SuspectCut(fence)
-	time.Sleep(maxCutOwnerDelay / 4) // the time by which the strong one learns of it later
+	time.Sleep(RecordTTL / 2) // the time by which the strong one learns of it later
 	strong.elector.SuspectCut(fence)
 	await(t, "a successor serves", func() bool { return servingFence(weak, strong) > fence })
 	if weak.serving.Load() > 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -284,7 +284,11 @@
 			case err != nil:
 				n.log.Warn("malformed operator record skipped", "key", r.Key, "offset", r.Offset, "err", err)
 			case decoded.Catalog != nil:
+				first := n.entry.Catalog() == nil
 				n.entry.SetCatalog(decoded.Catalog)
+				if first {
+					n.elector.Wake() // the instance has become eligible as the owner
+				}
 			}
 		}
 	}
