Give repeated pieces of the owner and the election one form; bound early due times

Cause, found by reading the change again: the formula of a due time, the number of tasks, the key of a placement's step and the test for a stalled append stood in several places; a job was checked for a state that cannot occur; a test of the time since the zero time had a redundant part; three tests set up the same owner. And a fault: a first due time of -2^63 passed the check of schedules, since its negation is itself, and the loop over due occurrences then held the event loop. Change: Job.DueMS, Job.taskCount, placement.stepKey, Owner.appendStalled, joinCuttable; the lower bound is compared by itself. TestStrongInstanceReplacesCutOwner now checks the weak instance during the whole wait instead of after a sleep.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -171,7 +171,7 @@
 	if owner, ok := e.Current(); fence == 0 || !ok || owner.Fence != fence {
 		return
 	}
-	if !e.lastFailure.IsZero() && time.Since(e.lastFailure) < RecordTTL {
+	if time.Since(e.lastFailure) < RecordTTL {
 		return // an outage that reaches this instance ends: the owner is about to renew its record
 	}
 	// Stronger instances learn of it as well, from their own callers.
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -283,13 +283,19 @@
 	return s.Store.Append(ctx, name, batch)
 }
 
-// Guards the time without an owner when the store turns the owner alone away: told by the owner, another instance for
-// which the store answers takes over without waiting for the record to expire.
-func TestCutOwnerIsReplacedAtOnce(t *testing.T) {
+// joinCuttable returns a store, an instance that serves as its owner, and the switch that makes the store reject it.
+func joinCuttable(t *testing.T) (*topictest.Store, *rejectingStore, *candidate) {
 	store := &topictest.Store{}
 	cut := &rejectingStore{Store: store}
 	a := join(t, cut, "a")
 	await(t, "a serves", func() bool { return a.serving.Load() > 0 })
+	return store, cut, a
+}
+
+// Guards the time without an owner when the store turns the owner alone away: told by the owner, another instance for
+// which the store answers takes over without waiting for the record to expire.
+func TestCutOwnerIsReplacedAtOnce(t *testing.T) {
+	store, cut, a := joinCuttable(t)
 	fence := a.serving.Load()
 	b := join(t, store, "b")
 	await(t, "b knows the owner", func() bool { _, ok := b.elector.Current(); return ok })
@@ -305,10 +311,7 @@
 // Guards the choice of the successor of a cut owner: a strong instance wins although a weak one learns of the cut first.
 // A weak one once took over (ligeira-nordeste-grown, incident, 18.7 s) and could not keep up.
 func TestStrongInstanceReplacesCutOwner(t *testing.T) {
-	store := &topictest.Store{}
-	cut := &rejectingStore{Store: store}
-	a := join(t, cut, "a")
-	await(t, "a serves", func() bool { return a.serving.Load() > 0 })
+	store, cut, a := joinCuttable(t)
 	fence := a.serving.Load()
 	weak, strong := joinAs(t, store, "weak", 1), joinAs(t, store, "strong", 0)
 	for _, c := range []*candidate{weak, strong} {
@@ -318,7 +321,12 @@
 	await(t, "nobody has just started", func() bool { return time.Since(started) > startupTime })
 	cut.on.Store(true)
 	weak.elector.SuspectCut(fence)
-	time.Sleep(RecordTTL / 2) // the time by which the strong one learns of it later
+	// The strong one learns of it later.
+	for deadline := time.Now().Add(RecordTTL / 2); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if weak.serving.Load() > 0 {
+			t.Fatal("the weak instance took over")
+		}
+	}
 	strong.elector.SuspectCut(fence)
 	await(t, "a successor serves", func() bool { return servingFence(weak, strong) > fence })
 	if weak.serving.Load() > 0 {
@@ -329,10 +337,7 @@
 // Guards the hand-over while the store does not answer at once: a stopping owner tries again to release its record. A
 // single attempt left ligeira-nordeste without an owner for 3.3 s (its incident, 13.0 s).
 func TestReleaseIsRepeated(t *testing.T) {
-	store := &topictest.Store{}
-	cut := &rejectingStore{Store: store}
-	a := join(t, cut, "a")
-	await(t, "a serves", func() bool { return a.serving.Load() > 0 })
+	store, cut, a := joinCuttable(t)
 	fence := a.serving.Load()
 	cut.on.Store(true)
 	a.stop()
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -47,6 +47,9 @@
 	return time.Since(o.commit.appendStarted)
 }
 
+// appendStalled reports whether the append in flight has taken so long that nothing new should wait for it.
+func (o *Owner) appendStalled() bool { return o.appendAge() > storeStallLimit }
+
 // flush starts an append of the pending decisions unless one is in flight.
 func (o *Owner) flush() {
 	c := &o.commit
--- a/internal/owner/evacuate.go
+++ b/internal/owner/evacuate.go
@@ -32,13 +32,13 @@
 // loses one task at a time, and a task takes about a second until it is at work again: a wave in which many tasks of
 // one step have to move meets its deadline only if their moves begin with it and go on without a pause.
 func (o *Owner) evacuate(now time.Time) {
-	for key, p := range o.evacuationCandidates(now) {
-		if !o.mayEvacuateOne(key, p) {
+	for _, p := range o.evacuationCandidates(now) {
+		if !o.mayEvacuateOne(p) {
 			continue
 		}
 		w := o.workers[p.job.progress.Task(p.ref).Worker]
 		stays := func(other *worker) bool { return !o.isDueForMaintenance(other) }
-		if o.countEligible(key.job, key.occurrence, key.step, stays) == 0 {
+		if o.countEligible(p.job, p.ref.Occurrence, p.ref.Step, stays) == 0 {
 			o.blockedEvictions[w.info.Pool]++
 			continue
 		}
@@ -57,7 +57,7 @@
 		}
 		for _, p := range w.runs {
 			if p.step().LongRunning && !p.step().AtMostOnce && !p.leaving() {
-				candidates[stepKey{p.job, p.ref.Occurrence, p.ref.Step}] = p
+				candidates[p.stepKey()] = p
 			}
 		}
 	}
@@ -66,6 +66,6 @@
 
 // mayEvacuateOne reports whether the step's availability budget allows to move one task. A step without a budget moves
 // its tasks one by one as well.
-func (o *Owner) mayEvacuateOne(key stepKey, p *placement) bool {
-	return o.countUnavailable(key.job, key.occurrence, key.step) < max(1, p.step().MaxUnavailable)
+func (o *Owner) mayEvacuateOne(p *placement) bool {
+	return o.countUnavailable(p.job, p.ref.Occurrence, p.ref.Step) < max(1, p.step().MaxUnavailable)
 }
--- a/internal/owner/malformed_test.go
+++ b/internal/owner/malformed_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -18,11 +19,12 @@
 	h.addWorker("w1", 20*time.Millisecond)
 	o := h.startOwner(true)
 	for name, change := range map[string]func(*workload.Job){
-		"no steps":                           func(j *workload.Job) { j.Steps = nil },
-		"unknown step":                       func(j *workload.Job) { j.Steps[0].After = []int{7} },
-		"step after itself":                  func(j *workload.Job) { j.Steps[0].After = []int{0} },
-		"due times beyond the range of time": func(j *workload.Job) { j.Repeats, j.PeriodMS = 1<<40, 1<<40 },
-		"negative count":                     func(j *workload.Job) { j.Steps[0].Count = -1 },
+		"no steps":                               func(j *workload.Job) { j.Steps = nil },
+		"unknown step":                           func(j *workload.Job) { j.Steps[0].After = []int{7} },
+		"step after itself":                      func(j *workload.Job) { j.Steps[0].After = []int{0} },
+		"due times beyond the range of time":     func(j *workload.Job) { j.Repeats, j.PeriodMS = 1<<40, 1<<40 },
+		"first due time below the range of time": func(j *workload.Job) { j.Repeats, j.PeriodMS, j.FirstDueMS = 1<<60, 1, math.MinInt64 },
+		"negative count":                         func(j *workload.Job) { j.Steps[0].Count = -1 },
 	} {
 		j := newJob("bad", 1)
 		change(j)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -303,11 +303,8 @@
 // check returns the first reason why recorded parts of a job cannot be used. A malformed record must not end the
 // process: each successor would read it again.
 func (j *job) check() error {
-	switch {
-	case j.spec == nil && j.progress == nil:
-		return errors.NotFoundf("specification and progress")
-	case j.spec == nil:
-		return nil
+	if j.spec == nil {
+		return nil // adoptJob handles it
 	}
 	if err := j.spec.Validate(); err != nil {
 		return err
@@ -400,7 +397,7 @@
 			o.replan = true
 		}
 	}
-	if o.appendAge() > storeStallLimit {
+	if o.appendStalled() {
 		o.withdrawUnsent()
 	}
 	o.expireJobs(now)
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -72,7 +72,7 @@
 
 // place runs a placement round: it assigns waiting tasks to workers.
 func (o *Owner) place() {
-	if o.appendAge() > storeStallLimit || !o.leading() {
+	if o.appendStalled() || !o.leading() {
 		o.lastPlacementTry = time.Now()
 		return
 	}
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -118,7 +118,7 @@
 	if behind := now.UnixMilli() - j.spec.FirstDueMS; behind > 0 && j.spec.PeriodMS > 0 {
 		j.demanded = max(j.demanded, int(min(behind/j.spec.PeriodMS, int64(j.spec.Repeats)))) // they wait already
 	}
-	for j.demanded < j.spec.Repeats && j.spec.FirstDueMS+int64(j.demanded)*j.spec.PeriodMS <= horizon {
+	for j.demanded < j.spec.Repeats && j.spec.DueMS(j.demanded) <= horizon {
 		j.demanded++
 		o.recordArrival(j.spec, now)
 	}
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -26,6 +26,8 @@
 	occurrence, step int
 }
 
+func (p *placement) stepKey() stepKey { return stepKey{p.job, p.ref.Occurrence, p.ref.Step} }
+
 // reserve adds a placement to the usage of its worker and of its organisation.
 func (o *Owner) reserve(w *worker, p *placement) {
 	step := &p.job.spec.Steps[p.ref.Step]
@@ -34,7 +36,7 @@
 	if w.used.tasksPerStep == nil {
 		w.used.tasksPerStep = map[stepKey]int{}
 	}
-	w.used.tasksPerStep[stepKey{p.job, p.ref.Occurrence, p.ref.Step}]++
+	w.used.tasksPerStep[p.stepKey()]++
 	org := p.job.spec.Organisation
 	o.usage[org] = o.usage[org].Add(step.Resources)
 	if w.used.organisations == nil {
@@ -49,7 +51,7 @@
 	delete(w.runs, p.taskName)
 	w.idleSince = time.Now()
 	w.used.resources = w.used.resources.Sub(step.ReservedResources())
-	key := stepKey{p.job, p.ref.Occurrence, p.ref.Step}
+	key := p.stepKey()
 	if w.used.tasksPerStep[key]--; w.used.tasksPerStep[key] == 0 {
 		delete(w.used.tasksPerStep, key)
 	}
@@ -134,7 +136,7 @@
 		o.log.Info("start refused", "task", p.taskName, "run", p.run, "worker", w.info.ID, "reason", err)
 		w.backoffUntil = time.Now().Add(refusalBackoff)
 		if errors.Is(err, workers.ErrInvalidTicket) {
-			delete(o.tickets, stepKey{p.job, p.ref.Occurrence, p.ref.Step}) // the next placement requests new tickets
+			delete(o.tickets, p.stepKey()) // the next placement requests new tickets
 		}
 		if errors.Is(err, workers.ErrUnhealthy) {
 			w.health.recordFailure(time.Now())
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -60,7 +60,7 @@
 			o.acknowledge(j, r)
 			return
 		}
-		if age := o.appendAge(); age > storeStallLimit {
+		if o.appendStalled() {
 			o.metrics.rejected.Inc(1)
 			r.send(o.storeStalled())
 			return
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -86,6 +86,18 @@
 // IsScheduled reports whether the job runs on a schedule.
 func (j *Job) IsScheduled() bool { return j.Repeats > 0 }
 
+// DueMS returns the Unix time in milliseconds at which an occurrence of a scheduled job is due.
+func (j *Job) DueMS(occurrence int) int64 { return j.FirstDueMS + int64(occurrence)*j.PeriodMS }
+
+// taskCount returns the number of tasks of one occurrence.
+func (j *Job) taskCount() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
 // Limits that Validate enforces.
 const (
 	// MaxTasks bounds the tasks of one occurrence, so that its progress fits into one record of the store.
@@ -104,13 +116,11 @@
 	if len(j.Steps) == 0 {
 		return errors.NotValidf("job without steps")
 	}
-	tasks := 0
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		if s.Count < 1 || s.Count > MaxTasks {
 			return errors.NotValidf("step %d with %d tasks", i, s.Count)
 		}
-		tasks += s.Count
 		if s.Resources.CPU < 0 || s.Resources.MemoryMB < 0 || s.Resources.GPU < 0 {
 			return errors.NotValidf("step %d with a negative amount", i)
 		}
@@ -120,13 +130,13 @@
 			}
 		}
 	}
-	if tasks > MaxTasks {
+	if tasks := j.taskCount(); tasks > MaxTasks {
 		return errors.NotValidf("job of %d tasks (at most %d)", tasks, MaxTasks)
 	}
 	if j.Repeats < 0 || j.Repeats > 1 && j.PeriodMS < 1 || j.PeriodMS < 0 {
 		return errors.NotValidf("schedule with %d occurrences every %d ms", j.Repeats, j.PeriodMS)
 	}
-	if max(j.FirstDueMS, -j.FirstDueMS) > maxDueMS || j.PeriodMS > 0 && int64(j.Repeats) > maxDueMS/j.PeriodMS {
+	if j.FirstDueMS > maxDueMS || j.FirstDueMS < -maxDueMS || j.PeriodMS > 0 && int64(j.Repeats) > maxDueMS/j.PeriodMS {
 		return errors.NotValidf("schedule from %d ms on with %d occurrences every %d ms", j.FirstDueMS, j.Repeats, j.PeriodMS)
 	}
 	return nil
@@ -274,7 +284,7 @@
 	if !j.IsScheduled() {
 		return 0, p.Created == 0
 	}
-	return j.FirstDueMS + int64(p.Created)*j.PeriodMS, p.Created < j.Repeats
+	return j.DueMS(p.Created), p.Created < j.Repeats
 }
 
 // Check returns a NotValid error if the progress does not have the shape of the job, as after a malformed record.
@@ -299,14 +309,6 @@
 	return len(p.Current) == 0 || (len(p.Current)+1)*j.taskCount() <= MaxTasks
 }
 
-func (j *Job) taskCount() int {
-	n := 0
-	for i := range j.Steps {
-		n += j.Steps[i].Count
-	}
-	return n
-}
-
 // CreateDue creates the occurrences that are due at nowMS, as far as there is room for them, and reports whether there
 // were any.
 func (p *Progress) CreateDue(j *Job, nowMS int64) bool {
