Answer with "Connection: close" while a node stops, and report why a load test got no answer

A node that stops serves for another 2.2 s and then closes its idle connections; a client that sends its next request on one of them at that moment gets a reset instead of an answer, and must not repeat work that isn't idempotent. Ruled out: the system's own answers (the load tool, which now lists the first 20 requests without an answer and why, showed "connection reset by peer" after 0.9 ms, at the moment of a shutdown). Left: a connection that was idle for all of the 2.2 s and is used again in the very moment of its end; HTTP/1.1 has no remedy for it but a client's retry.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -55,7 +55,7 @@
 		arrivals = arrivals[:opts.MaxRequests]
 	}
 	g := newGenerator(opts)
-	started := time.Now()
+	started := g.started
 	var running sync.WaitGroup
 	inFlight := make(chan struct{}, maxInFlight)
 	for _, a := range arrivals {
@@ -66,7 +66,7 @@
 		select {
 		case inFlight <- struct{}{}:
 		default:
-			g.record(a.class, outcomeNotSent, 0)
+			g.record(a.class, attemptResult{outcome: outcomeNotSent, detail: "too many requests in flight"}, started, 0)
 			continue
 		}
 		running.Go(func() {
@@ -82,12 +82,15 @@
 	opts   Options
 	client *http.Client
 
-	mu    sync.Mutex
-	stats []*classStats // by class; protected by mu
+	started time.Time
+
+	mu       sync.Mutex
+	stats    []*classStats // by class; protected by mu
+	failures []Failure     // the first of them; protected by mu
 }
 
 func newGenerator(opts Options) *generator {
-	g := &generator{opts: opts, client: newHTTPClient()}
+	g := &generator{opts: opts, client: newHTTPClient(), started: time.Now()}
 	for range opts.Profile.Classes {
 		g.stats = append(g.stats, newClassStats())
 	}
@@ -107,36 +110,42 @@
 	}
 	echo := uuid.NewString()
 	started := time.Now()
-	result := outcomeUnknown
+	var result attemptResult
 	for attempt := 0; ; attempt++ {
 		entry := g.opts.Entries[(target+attempt)%len(g.opts.Entries)]
 		result = g.sendOnce(ctx, class, a.runTime, entry, idempotencyKey, echo)
-		if result != outcomeUnknown || idempotencyKey == "" || attempt >= g.opts.Retries {
+		if result.outcome != outcomeUnknown || idempotencyKey == "" || attempt >= g.opts.Retries {
 			break
 		}
 	}
-	g.record(a.class, result, time.Since(started))
+	g.record(a.class, result, started, time.Since(started))
 }
 
 // responseSlack extends the client's timeout beyond the deadline, so that the system's own rejection arrives.
 const responseSlack = 2 * time.Second
 
+// attemptResult is the outcome of one attempt and, unless it was answered, why.
+type attemptResult struct {
+	outcome outcome
+	detail  string
+}
+
 func (g *generator) sendOnce(ctx context.Context, class Class, runTime time.Duration,
-	entry, idempotencyKey, echo string) outcome {
+	entry, idempotencyKey, echo string) attemptResult {
 	ctx, cancel := context.WithTimeout(ctx, class.Deadline+responseSlack)
 	defer cancel()
 	req, err := g.request(ctx, class, runTime, entry, idempotencyKey, echo)
 	if err != nil {
-		return outcomeNotSent
+		return attemptResult{outcomeNotSent, err.Error()}
 	}
 	res, err := g.client.Do(req)
 	if err != nil {
-		return outcomeUnknown
+		return attemptResult{outcomeUnknown, err.Error()}
 	}
 	defer res.Body.Close()
 	body, err := io.ReadAll(res.Body)
 	if err != nil {
-		return outcomeUnknown
+		return attemptResult{outcomeUnknown, "reading the response: " + err.Error()}
 	}
 	return classify(res.StatusCode, body, echo)
 }
@@ -168,31 +177,38 @@
 }
 
 // classify returns the outcome of a response. An answer that lacks the request's echo belongs to another request.
-func classify(status int, body []byte, echo string) outcome {
+func classify(status int, body []byte, echo string) attemptResult {
+	detail := fmt.Sprintf("%d %s", status, body[:min(len(body), maxDetailBytes)])
 	if status == http.StatusOK {
 		var answer standin.Answer
 		if json.Unmarshal(body, &answer) != nil || answer.Echo != echo {
-			return outcomeWrongAnswer
+			return attemptResult{outcomeWrongAnswer, detail}
 		}
-		return outcomeAnswered
+		return attemptResult{outcome: outcomeAnswered}
 	}
 	var problem struct {
 		Outcome string `json:"outcome"`
 	}
 	if json.Unmarshal(body, &problem) != nil {
-		return outcomeUnknown
+		return attemptResult{outcomeUnknown, detail}
 	}
 	switch problem.Outcome {
 	case "not-run":
-		return outcomeNotRun
+		return attemptResult{outcomeNotRun, detail}
 	case "failed":
-		return outcomeFailed
+		return attemptResult{outcomeFailed, detail}
 	}
-	return outcomeUnknown
+	return attemptResult{outcomeUnknown, detail}
 }
 
-func (g *generator) record(class int, result outcome, latency time.Duration) {
+func (g *generator) record(class int, result attemptResult, started time.Time, latency time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.stats[class].add(result, latency)
+	g.stats[class].add(result.outcome, latency)
+	if result.outcome != outcomeAnswered && len(g.failures) < maxFailures {
+		g.failures = append(g.failures, Failure{
+			Class: g.opts.Profile.Classes[class].Name, Outcome: string(result.outcome), Detail: result.detail,
+			AtSeconds: started.Sub(g.started).Seconds(), MS: float64(latency.Microseconds()) / 1000,
+		})
+	}
 }
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
 	"time"
 
 	hdr "github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/juju/errors"
 )
 
 // outcome is the result of a request as its caller sees it.
@@ -55,6 +57,23 @@
 	MaxMS    float64        `json:"max_ms"`
 }
 
+// Bounds of the failures in a report.
+const (
+	maxFailures    = 20
+	maxDetailBytes = 300
+)
+
+// Failure describes a request that was not answered.
+type Failure struct {
+	Class   string `json:"class"`
+	Outcome string `json:"outcome"`
+	// AtSeconds is when the request was first sent, since the start of the load test; MS is how long it took.
+	AtSeconds float64 `json:"at_seconds"`
+	MS        float64 `json:"ms"`
+	// Detail is the response or the error of the last attempt.
+	Detail string `json:"detail"`
+}
+
 // Report holds the results of a load test.
 type Report struct {
 	Profile string `json:"profile"`
@@ -65,6 +84,8 @@
 	AnsweredPerSecond float64       `json:"answered_per_second"`
 	Total             ClassReport   `json:"total"`
 	Classes           []ClassReport `json:"classes"`
+	// Failures holds the first requests without an answer, in the order in which they ended.
+	Failures []Failure `json:"failures,omitempty"`
 }
 
 // WrongAnswers returns the number of answers that belong to another request.
@@ -74,7 +95,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	total := newClassStats()
-	r := &Report{Profile: g.opts.Profile.Name, Seed: g.opts.Seed, Seconds: elapsed.Seconds()}
+	r := &Report{
+		Profile: g.opts.Profile.Name, Seed: g.opts.Seed, Seconds: elapsed.Seconds(), Failures: slices.Clone(g.failures),
+	}
 	for i, s := range g.stats {
 		r.Classes = append(r.Classes, classReport(g.opts.Profile.Classes[i].Name, s))
 		for result, n := range s.counts {
@@ -113,5 +136,11 @@
 			o[string(outcomeAnswered)], o[string(outcomeNotRun)], o[string(outcomeFailed)], o[string(outcomeUnknown)],
 			o[string(outcomeWrongAnswer)], o[string(outcomeNotSent)], c.P50MS, c.P99MS, c.MaxMS)
 	}
-	return w.Flush()
+	if err := w.Flush(); err != nil {
+		return errors.Trace(err)
+	}
+	for _, f := range r.Failures {
+		fmt.Fprintf(out, "%s at %.1f s was %s after %.0f ms: %s\n", f.Class, f.AtSeconds, f.Outcome, f.MS, f.Detail)
+	}
+	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -255,19 +255,30 @@
 		Log: n.cfg.Log.Named("link")})
 	serve := func(s *http.Server, l net.Listener) error { return s.Serve(l) }
 	list := []server{
-		{n.httpServer(n.cfg.NewClientHandler(n.entry)), n.cfg.ClientAddress, true, serve},
+		{n.httpServer(n.closeWhileStopping(n.cfg.NewClientHandler(n.entry))), n.cfg.ClientAddress, true, serve},
 		{n.httpServer(ready), n.cfg.ReadyAddress, false, serve},
 		{n.httpServer(peers), n.cfg.PeerAddress, false, serve},
 		{n.httpServer(n.cfg.Metrics), n.cfg.MetricsAddress, false, serve},
 	}
 	if api := n.cfg.API; api != nil {
-		s := n.httpServer(api.NewHandler(n.entry, n.notReady))
+		s := n.httpServer(n.closeWhileStopping(api.NewHandler(n.entry, n.notReady)))
 		s.ReadTimeout = bodyTimeout
 		list = append(list, server{s, api.Address, true, api.Serve})
 	}
 	return list
 }
 
+// closeWhileStopping makes the responses of a stopping node end their connections. A shutdown closes idle connections
+// without notice, and a request that is sent at that moment gets no response.
+func (n *node) closeWhileStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (n *node) httpServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
