Turn panics of clients and followers into errors of their call

Cause, found by reading with the operators' fault "one unexpected error took a whole process down" in mind: clients of the store, the workers, the instance service and the advice run in goroutines of their own, and a panic there, as on a response that a decoder does not expect, ended the process. So did one in a callback of a follower of a topic. Change: internal/guard replaces a panic by an error with the stack in a log line; internal/node wraps all clients, and a follower goes on after the records that made its callback panic. Callers treat the error like a response that was lost. Measured: node.TestPanicOfAClientIsAnError and topic.TestFollowerSkipsRecordsThatPanic end the test process without it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -111,6 +111,7 @@
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * softMemoryLimitPercent / 100)
 	}
+	cfg = guardClients(cfg)
 	n := &node{cfg: cfg, log: cfg.Log}
 	nodeCtx, stopNode := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopNode()
@@ -304,7 +305,7 @@
 		}
 	}
 	f := &topic.Follower{
-		Store: n.cfg.Store, Topic: n.cfg.Codec.OperatorTopic(), PollTimeout: configPollTimeout, OnSnapshot: applyConfig,
+		Store: n.cfg.Store, Topic: n.cfg.Codec.OperatorTopic(), PollTimeout: configPollTimeout, Log: n.log, OnSnapshot: applyConfig,
 		OnRecords: func(records []topic.Record, _ int64) { applyConfig(records) },
 		OnError:   func(err error) { n.log.Debug("reading the operator topic failed", "err", err) },
 	}
--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -117,9 +117,10 @@
 		}
 	}
 	f := &topic.Follower{
-		Store: o.cfg.Store, Topic: o.cfg.Codec.OperatorTopic(), PollTimeout: operatorPollTimeout, OnSnapshot: handle,
-		OnRecords: func(records []topic.Record, _ int64) { handle(records) },
-		OnError:   func(err error) { o.log.Debug("reading operator records failed", "err", err) },
+		Store: o.cfg.Store, Topic: o.cfg.Codec.OperatorTopic(), PollTimeout: operatorPollTimeout, Log: o.log,
+		OnSnapshot: handle,
+		OnRecords:  func(records []topic.Record, _ int64) { handle(records) },
+		OnError:    func(err error) { o.log.Debug("reading operator records failed", "err", err) },
 	}
 	f.Run(o.ctx)
 }
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -102,7 +102,7 @@
 
 func (o *Owner) followWorkers() {
 	f := &topic.Follower{
-		Store: o.cfg.Store, Topic: o.cfg.Codec.WorkerTopic(), MinInterval: workerPollInterval,
+		Store: o.cfg.Store, Topic: o.cfg.Codec.WorkerTopic(), MinInterval: workerPollInterval, Log: o.log,
 		OnSnapshot: func(records []topic.Record) { o.post(func() { o.applyWorkerSnapshot(records) }) },
 		OnRecords: func(records []topic.Record, _ int64) {
 			if len(records) > 0 {
--- a/internal/topic/follow.go
+++ b/internal/topic/follow.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 
+	"github.com/pollenford/pollenford/internal/guard"
 	"github.com/pollenford/pollenford/internal/wait"
 )
 
@@ -21,8 +23,9 @@
 	OnSnapshot func(records []Record)
 	// OnRecords receives the records appended since. A call without records shows that the store is responding.
 	OnRecords func(records []Record, end int64)
-	// OnError receives the errors of failed calls.
+	// OnError receives the errors of failed calls. A panic of a callback is one: its records are not delivered again.
 	OnError func(err error)
+	Log     hclog.Logger
 }
 
 // Exponential backoff of a follower after failed calls. The first retry comes well within every time limit of the
@@ -63,7 +66,8 @@
 	}
 }
 
-func (f *Follower) step(ctx context.Context, nextOffset *int64) error {
+func (f *Follower) step(ctx context.Context, nextOffset *int64) (err error) {
+	defer guard.Recover(f.Log, "follow "+string(f.Topic), &err)
 	if *nextOffset < 0 {
 		records, end, err := ReadSnapshot(ctx, f.Store, f.Topic)
 		if err != nil {
