Replace an owner that answers nobody and does not renew its record after 1.3 s

Change: an entry tells the election that its connection to the owner ended in silence (no pong, no handshake); then the record expires 1.3 s after its last renewal instead of 2 s. Silence alone replaces nobody. An owner sends no order for an instance from that age on, so that it cannot act beside a successor. Ruled out: a shorter life of the record for all, which a slow store (260 ms a call) would end without cause.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -286,6 +286,8 @@
 			case errors.Is(err, syscall.ECONNREFUSED):
 				// Either nothing listens there or the network rejects connections. An election is safe in both cases.
 				e.Elector.Suspect(owner.Fence)
+			case errors.Is(err, link.ErrSilent):
+				e.Elector.SuspectSilent(owner.Fence)
 			}
 			wait.For(ctx, dialRetryInterval)
 		}
@@ -309,9 +311,13 @@
 		return err
 	}
 	e.Log.Debug("connected to the owner", "owner", owner.Name, "fence", owner.Fence)
+	e.Elector.Responds(owner.Fence)
 	e.ownerClient.Store(client)
 	<-lost // also when ctx ends
 	e.ownerClient.Store(nil)
-	e.Log.Info("connection to the owner ended", "owner", owner.Name, "fence", owner.Fence)
+	e.Log.Info("connection to the owner ended", "owner", owner.Name, "fence", owner.Fence, "silent", client.Silent())
+	if client.Silent() {
+		return link.ErrSilent
+	}
 	return nil
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -83,6 +83,37 @@
 	}
 }
 
+// Guards the time without an owner after its instance lost power: an entry that cannot reach it tells the election.
+func TestUnreachableOwnerIsReplacedEarly(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // accepts no connection
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	dead, err := cbor.Marshal(leader.Owner{Name: "dead", Incarnation: "x", Address: l.Addr().String(), Fence: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := &topictest.Store{}
+	store.Put("keyed.owner", "owner", dead)
+	e := newEntry(func() jobs.Service { return nil })
+	elected := make(chan time.Time, 1)
+	e.Elector.Store, e.Elector.Eligible = store, func() bool { return true }
+	e.Elector.Serve = func(ctx context.Context, _ *leader.Term) error {
+		elected <- time.Now()
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	began := time.Now()
+	go e.Elector.Run(ctx)
+	go e.Connect(ctx)
+	if took := (<-elected).Sub(began); took > (leader.SilentRecordTTL+leader.RecordTTL)/2 {
+		t.Errorf("replaced after %v, want about %v", took, leader.SilentRecordTTL)
+	}
+}
+
 // Guards against a false rejection: after an attempt with an unknown outcome, a rejection by the next owner must not
 // reach the client, but an acceptance must.
 func TestUnknownOutcomeIsNeverTurnedIntoARejection(t *testing.T) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -22,9 +22,12 @@
 	renewInterval = 700 * time.Millisecond
 	// RecordTTL is how long after its last renewal an unresponsive owner is replaced. It allows for one lost renewal and
 	// the slowest known store (260 ms per call).
-	RecordTTL     = 2 * time.Second
-	callTimeout   = 600 * time.Millisecond
-	retryInterval = 100 * time.Millisecond
+	RecordTTL = 2 * time.Second
+	// SilentRecordTTL is the same for an owner that also stopped answering on the connection to it. It allows for a renewal
+	// in the slowest known store, which then takes 0.96 s. An owner sends no orders for longer without a renewal.
+	SilentRecordTTL = 1300 * time.Millisecond
+	callTimeout     = 600 * time.Millisecond
+	retryInterval   = 100 * time.Millisecond
 	// followPollTimeout bounds a read of the owner's records and thereby the delay until an expiry is detected.
 	followPollTimeout = 500 * time.Millisecond
 	// maxInitialCampaignDelay is how long the weakest instance defers its campaign if there has never been an owner.
@@ -127,6 +130,7 @@
 	ownerSuspected atomic.Bool
 	endedFence     atomic.Int64 // fence of an owner whose process has certainly ended
 	cutFence       atomic.Int64 // fence of an owner that says that it cannot renew its record
+	silentFence    atomic.Int64 // fence of an owner that does not answer on its connection
 }
 
 // Current returns the owner as last read from the store. It returns false if none is known or it released its record.
@@ -153,6 +157,18 @@
 	}
 }
 
+// SuspectSilent reports that the owner with the given fence stopped answering on the connection to it. That alone is no
+// reason to replace it, because the fault may be in the network between: its record expires after SilentRecordTTL instead of
+// RecordTTL.
+func (e *Elector) SuspectSilent(fence int64) {
+	if e.silentFence.Swap(fence) != fence {
+		e.Wake()
+	}
+}
+
+// Responds reports that the owner with the given fence answers.
+func (e *Elector) Responds(fence int64) { e.silentFence.CompareAndSwap(fence, 0) }
+
 // SuspectCut reports that the owner with the given fence says that it cannot renew its record. It is suspected once a
 // read shows that the store answers this instance; in an outage of the store for all, it stays the owner.
 func (e *Elector) SuspectCut(fence int64) {
@@ -375,6 +391,9 @@
 	if e.ownerSuspected.Load() || e.storeFailing {
 		return 0 // any response tells that the store is back
 	}
+	if owner, ok := e.Current(); ok && e.isSilent(owner) {
+		return max(0, min(followPollTimeout, SilentRecordTTL-time.Since(e.lastSeen)))
+	}
 	return followPollTimeout
 }
 
@@ -401,9 +420,19 @@
 	owner, owned := e.Current()
 	// A record of this instance outside a term is from an earlier process or from an append that was applied after its
 	// timeout.
-	return !owned || owner.Name == e.Self.Name || e.ownerSuspected.Load() || time.Since(e.lastSeen) > RecordTTL
+	return !owned || owner.Name == e.Self.Name || e.ownerSuspected.Load() || time.Since(e.lastSeen) > e.recordTTL(owner)
 }
 
+// recordTTL returns how long after its last renewal the owner may be replaced.
+func (e *Elector) recordTTL(owner Owner) time.Duration {
+	if e.isSilent(owner) {
+		return SilentRecordTTL
+	}
+	return RecordTTL
+}
+
+func (e *Elector) isSilent(owner Owner) bool { return e.silentFence.Load() == owner.Fence }
+
 // campaign tries to become the owner and, on success, serves until the term ends.
 func (e *Elector) campaign(ctx context.Context) {
 	sent := bootTime()
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -169,6 +169,42 @@
 	}
 }
 
+// Guards the time without an owner after its instance lost power: an owner that answers nobody is replaced before its record
+// expires for all others, and one that renews its record stays although an instance cannot reach it.
+func TestSilentOwnerWithoutRenewalIsReplacedEarly(t *testing.T) {
+	store := &topictest.Store{}
+	a := join(t, store, "a")
+	await(t, "a serves", func() bool { return a.serving.Load() > 0 })
+	fence := a.serving.Load()
+	b := join(t, store, "b")
+	cutOff := b.elector
+	await(t, "b knows the owner", func() bool { _, ok := cutOff.Current(); return ok })
+	cutOff.SuspectSilent(fence)
+	for began := time.Now(); time.Since(began) < RecordTTL; time.Sleep(20 * time.Millisecond) {
+		if b.serving.Load() > 0 {
+			t.Fatal("an owner that renews its record was replaced")
+		}
+	}
+	cutOff.Responds(fence)
+
+	dead := Owner{Name: "dead", Incarnation: "x", Address: "x", Fence: 1}
+	store = &topictest.Store{}
+	if err := (&Elector{Store: store, Log: hclog.NewNullLogger()}).write(t.Context(), dead); err != nil {
+		t.Fatal(err)
+	}
+	c := join(t, store, "c")
+	await(t, "c knows the owner", func() bool { _, ok := c.elector.Current(); return ok })
+	began := time.Now()
+	c.elector.SuspectSilent(dead.Fence)
+	await(t, "c serves", func() bool { return c.serving.Load() > 0 })
+	if took := time.Since(began); took > (SilentRecordTTL+RecordTTL)/2 {
+		t.Errorf("replaced after %v, want about %v", took, SilentRecordTTL)
+	}
+	if c.predecessorEnded.Load() {
+		t.Error("PredecessorEnded is true after silence")
+	}
+}
+
 // Guards against a change of owner after a store outage: time in which no owner can renew does not count as expiry.
 func TestStoreOutageKeepsOwner(t *testing.T) {
 	store := &topictest.Store{}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -82,6 +82,9 @@
 // ErrProcessMismatch means that a different process responded at the owner's address, so the owner's process has ended.
 const ErrProcessMismatch = errors.ConstError("a different process responded at the owner's address")
 
+// ErrSilent means that the owner's process stopped answering on the connection.
+const ErrSilent = errors.ConstError("the owner does not answer on its connection")
+
 // incarnationParameter is the query parameter with the incarnation of the intended process.
 const incarnationParameter = "incarnation"
 
@@ -202,6 +205,7 @@
 	conn          *websocket.Conn
 	stop          context.CancelFunc
 	nextID        atomic.Uint64
+	silent        atomic.Bool // a ping was not answered in time
 
 	mu     sync.Mutex
 	calls  map[uint64]chan response // protected by mu
@@ -220,6 +224,9 @@
 	if res != nil && res.StatusCode == http.StatusMisdirectedRequest {
 		return nil, ErrProcessMismatch
 	}
+	if err != nil && dialCtx.Err() != nil && ctx.Err() == nil {
+		return nil, errors.Annotate(ErrSilent, err.Error())
+	}
 	if err != nil {
 		return nil, errors.Annotate(err, "connecting to the owner")
 	}
@@ -248,14 +255,19 @@
 		}
 		pingCtx, stop := context.WithTimeout(ctx, pingTimeout)
 		err := c.conn.Ping(pingCtx)
+		timedOut := pingCtx.Err() != nil && ctx.Err() == nil
 		stop()
 		if err != nil {
+			c.silent.Store(timedOut)
 			c.stop()
 			return
 		}
 	}
 }
 
+// Silent reports whether the connection was given up because the owner did not answer on it.
+func (c *Client) Silent() bool { return c.silent.Load() }
+
 func (c *Client) readLoop(ctx context.Context) {
 	for {
 		_, data, err := c.conn.Read(ctx)
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
@@ -162,3 +165,38 @@
 		}
 	})
 }
+
+// Guards the detection of an owner whose instance lost power: a peer that does not answer is told from one that closes the
+// connection or rejects it.
+func TestSilentPeerIsDetected(t *testing.T) {
+	lost := make(chan struct{})
+	mute := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := websocket.Accept(w, r, nil); err != nil {
+			t.Error(err)
+		}
+		<-lost // reads nothing, so it answers no ping
+	}))
+	defer mute.Close()
+	client, err := Dial(t.Context(), strings.TrimPrefix(mute.URL, "http://"), "one", nil, func() { close(lost) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-lost
+	if !client.Silent() {
+		t.Error("the owner does not answer, but does not count as silent")
+	}
+
+	deaf, err := net.Listen("tcp", "127.0.0.1:0") // accepts no connection
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer deaf.Close()
+	if _, err := Dial(t.Context(), deaf.Addr().String(), "one", nil, func() {}); !errors.Is(err, ErrSilent) {
+		t.Errorf("dialling an instance that does not answer: %v, want ErrSilent", err)
+	}
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	if _, err := Dial(t.Context(), strings.TrimPrefix(closed.URL, "http://"), "one", nil, func() {}); err == nil || errors.Is(err, ErrSilent) {
+		t.Errorf("dialling an instance that rejects connections: %v, want another error than ErrSilent", err)
+	}
+}
--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -399,7 +399,9 @@
 
 // mayOrder reports whether no other instance can have become the owner yet. Unlike the renewal of leases, an order must
 // not be sent later: the next owner may have placed work on the instance.
-func (o *Owner) mayOrder() bool { return o.term.Age() < leader.RecordTTL && !o.term.RenewalFailing() }
+func (o *Owner) mayOrder() bool {
+	return o.term.Age() < leader.SilentRecordTTL && !o.term.RenewalFailing()
+}
 
 // sendInstanceOrder repeats a call until it succeeds or is rejected, then runs onResult in the event loop. It pauses
 // while another owner may exist.
