--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,6 +91,9 @@
 	reportInterval         = time.Second // of gauges, equal to the reporting interval of the metrics
 	softMemoryLimitPercent = 60          // of MemoryMB, above which the garbage collector runs more often
 	maxHeaderBytes         = 16 << 10
+	// ownerGCPercent trades memory, which the soft limit bounds, for processor time: at the default of 100 an owner with
+	// hundreds of calls a second collects a heap of some tens of MB several times a second.
+	ownerGCPercent = 300
 	// fullSpeedCores is the CPU that the owner of the largest known deployment uses during a demand peak, in which a queue
 	// asks for more than its pool holds for some seconds. The instances there have 0.2 to 0.8 cores.
 	fullSpeedCores = 0.8
@@ -189,6 +192,7 @@
 }
 
 func (n *node) serveAsOwner(ctx context.Context, term *leader.Term) error {
+	defer debug.SetGCPercent(debug.SetGCPercent(ownerGCPercent))
 	o := owner.New(ctx, owner.Config{
 		Store: n.cfg.Store, Workers: n.cfg.Workers, Control: n.cfg.Control, Advice: n.cfg.Advice,
 		Codec:   n.cfg.Codec,
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -102,9 +102,11 @@
 	active           map[string]*job // jobs that have not ended
 	ended            []endedJob      // ordered by end time
 	workers          map[string]*worker
+	workerIndex      workerIndex
 	usage            map[string]catalog.Resources // resources of all runs that may be active, by organisation
 	recoveredAt      time.Time
 	commit           committer
+	rounds           roundBuffers
 	replan           bool // a change may allow further placements
 	lastPlacementTry time.Time
 	fleet            fleetState
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/pollenford/pollenford/internal/catalog"
@@ -116,28 +115,28 @@
 // assignPoolViews sets the queue, pool view and organisation of each step, and the fair shares of full pools.
 func (o *Owner) assignPoolViews(list []readyStep, now time.Time) {
 	c := o.cfg.Catalog()
-	pools := map[string]*poolView{}
+	views := map[string]*poolView{}
 	for i := range list {
 		r := &list[i]
 		q := c.Queues[r.job.spec.Queue]
 		if q == nil {
 			continue
 		}
-		view := pools[q.Pool]
+		view := views[q.Pool]
 		if view == nil {
 			view = o.newPoolView(q.Pool, now)
-			pools[q.Pool] = view
+			views[q.Pool] = view
 		}
 		r.queue, r.view, r.org = q, view, c.Organisations[r.job.spec.Organisation]
 		view.requested[r.job.spec.Organisation] += o.countWithinLimit(r) * r.job.spec.Steps[r.step].ReservedResources().CPU
 	}
-	for _, view := range pools {
+	for _, view := range views {
 		view.computeShares(c)
 	}
 }
 
 func (o *Owner) readySteps() []readyStep {
-	var list []readyStep
+	list := o.rounds.ready[:0]
 	for _, j := range o.active {
 		for _, occurrence := range j.progress.Current {
 			for step := range j.spec.Steps {
@@ -150,6 +149,7 @@
 			}
 		}
 	}
+	o.rounds.ready = list
 	return list
 }
 
@@ -171,6 +171,8 @@
 	// CPU by organisation in thousandths of a core: in use, requested by waiting tasks and, in a full pool, fair share.
 	used, requested, shares map[string]int64
 	capacity                int64
+	// constrained reports whether the candidates have the properties of a step that constrains its workers.
+	constrained bool
 }
 
 // computeShares sets the fair shares if several organisations request CPU and demand exceeds the pool's capacity.
@@ -198,9 +200,9 @@
 }
 
 func (o *Owner) newPoolView(pool string, now time.Time) *poolView {
-	view := &poolView{used: map[string]int64{}, requested: map[string]int64{}}
-	for _, w := range o.workers {
-		if w.info.Pool != pool || !w.usable(now) {
+	view := o.rounds.view(pool)
+	for _, w := range o.workersOf(pool) {
+		if !w.usable(now) {
 			continue
 		}
 		view.capacity += w.info.Capacity.CPU
@@ -209,17 +211,38 @@
 		}
 		view.workers = append(view.workers, w)
 	}
-	slices.SortFunc(view.workers, func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
-	view.candidates = make([]schedule.Candidate, len(view.workers))
-	for i, w := range view.workers {
-		view.candidates[i] = schedule.Candidate{
+	for _, w := range view.workers {
+		view.candidates = append(view.candidates, schedule.Candidate{
 			Free: w.info.Capacity.Sub(w.used.resources), Rack: w.info.Rack, SuspectScore: w.health.suspectScore(now),
 			DueForMaintenance: o.isDueForMaintenance(w),
-		}
+		})
 	}
 	return view
 }
 
+// roundBuffers holds the memory of the last placement round for the next one: a round of a large fleet needs about a
+// megabyte, a hundred times a second.
+type roundBuffers struct {
+	ready []readyStep
+	views map[string]*poolView // by pool
+}
+
+// view returns an empty view of a pool.
+func (b *roundBuffers) view(pool string) *poolView {
+	v := b.views[pool]
+	if v == nil {
+		if b.views == nil {
+			b.views = map[string]*poolView{}
+		}
+		v = &poolView{used: map[string]int64{}, requested: map[string]int64{}}
+		b.views[pool] = v
+	}
+	clear(v.used)
+	clear(v.requested)
+	*v = poolView{workers: v.workers[:0], candidates: v.candidates[:0], used: v.used, requested: v.requested}
+	return v
+}
+
 // usable reports whether the worker accepts new work.
 func (w *worker) usable(now time.Time) bool {
 	return w.registered && w.sessionEstablished && !w.info.Draining && !w.cordoned && now.After(w.backoffUntil)
@@ -239,11 +262,7 @@
 	if r.queue.RequiresAdvice {
 		advised = o.ticketsFor(key, view, now)
 	}
-	for i, w := range view.workers {
-		view.candidates[i].StepTasks = w.used.tasksPerStep[key]
-		view.candidates[i].HasLabel = step.RequiredLabel == "" || w.info.HasLabel(step.RequiredLabel)
-		view.candidates[i].Excluded = advised != nil && advised.validTicket(w, now) == ""
-	}
+	view.prepare(step, key, advised, now)
 	name := r.job.spec.Organisation
 	usage := o.usage[name]
 	var workerIndexes []int
@@ -298,6 +317,25 @@
 	return need.CPU * o.countWithinLimit(r)
 }
 
+// prepare sets the properties of the candidates that depend on the step. Most steps constrain no worker, and none of
+// these properties then matters.
+func (v *poolView) prepare(step *workload.Step, key stepKey, advised *tickets, now time.Time) {
+	constrained := step.MaxPerWorker > 0 || step.LongRunning || step.RequiredLabel != "" || advised != nil
+	if !constrained && !v.constrained {
+		return
+	}
+	v.constrained = constrained
+	for i, w := range v.workers {
+		c := &v.candidates[i]
+		c.StepTasks, c.HasLabel, c.Excluded = 0, true, false
+		if constrained {
+			c.StepTasks = w.used.tasksPerStep[key]
+			c.HasLabel = step.RequiredLabel == "" || w.info.HasLabel(step.RequiredLabel)
+			c.Excluded = advised != nil && advised.validTicket(w, now) == ""
+		}
+	}
+}
+
 // countWithinLimit returns how many waiting tasks of a step could start now within the organisation's limit.
 func (o *Owner) countWithinLimit(r *readyStep) int64 {
 	n := int64(0)
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -296,8 +296,8 @@
 	now := time.Now()
 	key := stepKey{j, occurrence, step}
 	n := 0
-	for _, w := range o.workers {
-		if w.info.Pool != q.Pool || !w.usable(now) || !condition(w) {
+	for _, w := range o.workersOf(q.Pool) {
+		if !w.usable(now) || !condition(w) {
 			continue
 		}
 		candidate := schedule.Candidate{
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -161,6 +161,7 @@
 			w.leaseUntil = w.leaseUntil.Add(maxRenewalAge)
 		}
 		o.workers[id] = w
+		o.workerIndex.moved(w, "")
 	}
 	return w
 }
@@ -172,6 +173,9 @@
 		return // a stale record of an earlier incarnation
 	}
 	w.info = info
+	if info.Pool != previous.Pool || info.Instance != previous.Instance {
+		o.workerIndex.moved(w, previous.Instance)
+	}
 	if info.Incarnation != previous.Incarnation {
 		o.resetIncarnation(w, info.Incarnation)
 	}
@@ -201,11 +205,8 @@
 
 // endOlderIncarnations ends the runs of earlier workers on the same instance, which runs one worker at a time.
 func (o *Owner) endOlderIncarnations(w *worker) {
-	if w.info.Instance == "" {
-		return
-	}
-	for _, other := range o.workers {
-		if other == w || other.info.Instance != w.info.Instance || other.info.Incarnation >= w.info.Incarnation {
+	for _, other := range o.workerIndex.byInstance[w.info.Instance] {
+		if other == w || other.info.Incarnation >= w.info.Incarnation {
 			continue
 		}
 		for _, p := range other.placements() {
@@ -494,6 +495,7 @@
 		}
 		o.clearLoss(w)
 		delete(o.workers, w.info.ID)
+		o.workerIndex.removed(w)
 		o.log.Info("worker removed", "worker", w.info.ID)
 	}
 }
