Hold back room in a full pool for long-running tasks that wait or have to move

An eviction asks for a worker with room, and in an overloaded pool each core that became free went to a short task at once, so that the three to four cores of a long-running task were never free together; 4 of 276 instances were late. Change: a placement round reserves, on the worker with the most free CPU whose other runs end by themselves, what a waiting long-running task, or one whose eviction is blocked, needs (schedule.Reserve, pure). Ruled out: evicting without room, which leaves the task unavailable for as long as the pool is full.

--- a/internal/owner/evacuate.go
+++ b/internal/owner/evacuate.go
@@ -39,7 +39,7 @@
 		w := o.workers[p.job.progress.Task(p.ref).Worker]
 		stays := func(other *worker) bool { return !o.isDueForMaintenance(other) }
 		if o.countEligible(p.job, p.ref.Occurrence, p.ref.Step, stays) == 0 {
-			o.blockedEvictions[w.info.Pool]++
+			o.blockedEvictions = append(o.blockedEvictions, p)
 			continue
 		}
 		o.evict(w, p)
--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -213,7 +213,7 @@
 	o.fleet.nextPlan = now.Add(planInterval)
 	o.fleet.callBudget.Refill(now)
 	o.resumeMoves()
-	o.blockedEvictions = map[string]int{}
+	o.blockedEvictions = nil
 	for _, w := range o.fleet.waves {
 		if w.hasSpec && !w.progress.Completed {
 			o.advanceWave(w, now)
@@ -353,7 +353,7 @@
 				continue
 			}
 			if o.countEligibleWorkers(p.job, p.ref.Occurrence, p.ref.Step) == 0 {
-				o.blockedEvictions[worker.info.Pool]++
+				o.blockedEvictions = append(o.blockedEvictions, p)
 				continue
 			}
 			o.evict(worker, p)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -114,8 +114,9 @@
 	pendingCPU map[string]int64
 	// demands holds the arriving work, by pool.
 	demands map[string]*pool.Demand
-	// blockedEvictions counts, by pool, the long-running tasks to evict that no other worker can take.
-	blockedEvictions map[string]int
+	// blockedEvictions lists the runs of long-running tasks to evict that no other worker can take now. Placement rounds
+	// hold back room for them.
+	blockedEvictions []*placement
 	tickets          map[stepKey]*tickets
 	metrics          metrics
 	loggedOffsets    map[string]int64 // offset + 1 of unreadable records already logged, by topic and key
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -133,6 +133,13 @@
 	for _, view := range views {
 		view.computeShares(c)
 	}
+	for _, p := range o.blockedEvictions {
+		if q := c.Queues[p.job.spec.Queue]; q != nil && views[q.Pool] != nil {
+			view := views[q.Pool]
+			view.prepare(p.step(), p.stepKey(), nil, now)
+			schedule.Reserve(p.step(), view.candidates, 1)
+		}
+	}
 }
 
 func (o *Owner) readySteps() []readyStep {
@@ -214,7 +221,7 @@
 	for _, w := range view.workers {
 		view.candidates = append(view.candidates, schedule.Candidate{
 			Free: w.info.Capacity.Sub(w.used.resources), Rack: w.info.Rack, SuspectScore: w.health.suspectScore(now),
-			DueForMaintenance: o.isDueForMaintenance(w),
+			DueForMaintenance: o.isDueForMaintenance(w), Ending: w.used.resources.Sub(w.used.longRunning),
 		})
 	}
 	return view
@@ -297,6 +304,9 @@
 		}
 		return need.CPU * o.countWithinLimit(r)
 	}
+	if step.LongRunning {
+		schedule.Reserve(step, view.candidates, int(o.countWithinLimit(r))-len(taskIndexes))
+	}
 	run := 0
 	for i, index := range taskIndexes {
 		ref := workload.TaskRef{Occurrence: r.occurrence.Number, Step: r.step, Index: index}
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -250,7 +249,12 @@
 // instancesNeeded returns how many more instances each pool needs for long-running tasks: the number of blocked
 // evictions or the highest number of unplaceable tasks in a step, whichever is larger.
 func (o *Owner) instancesNeeded() map[string]int {
-	needed := maps.Clone(o.blockedEvictions)
+	needed := map[string]int{}
+	for _, p := range o.blockedEvictions {
+		if q := o.cfg.Catalog().Queues[p.job.spec.Queue]; q != nil {
+			needed[q.Pool]++
+		}
+	}
 	for _, j := range o.active {
 		q := o.cfg.Catalog().Queues[j.spec.Queue]
 		if q == nil || !j.spec.IsLongRunning() {
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -14,7 +14,9 @@
 
 // usage holds the resources of all runs that may be active on a worker.
 type usage struct {
-	resources    catalog.Resources
+	resources catalog.Resources
+	// longRunning is the part of resources that long-running tasks hold.
+	longRunning  catalog.Resources
 	tasksPerStep map[stepKey]int
 	// organisations holds the CPU used on the worker by organisation, in thousandths of a core.
 	organisations map[string]int64
@@ -33,6 +35,9 @@
 	step := &p.job.spec.Steps[p.ref.Step]
 	w.runs[p.taskName] = p
 	w.used.resources = w.used.resources.Add(step.ReservedResources())
+	if step.LongRunning {
+		w.used.longRunning = w.used.longRunning.Add(step.ReservedResources())
+	}
 	if w.used.tasksPerStep == nil {
 		w.used.tasksPerStep = map[stepKey]int{}
 	}
@@ -51,6 +56,9 @@
 	delete(w.runs, p.taskName)
 	w.idleSince = time.Now()
 	w.used.resources = w.used.resources.Sub(step.ReservedResources())
+	if step.LongRunning {
+		w.used.longRunning = w.used.longRunning.Sub(step.ReservedResources())
+	}
 	key := p.stepKey()
 	if w.used.tasksPerStep[key]--; w.used.tasksPerStep[key] == 0 {
 		delete(w.used.tasksPerStep, key)
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -82,3 +82,36 @@
 		}
 	}
 }
+
+// Guards room for long-running tasks in a full pool: it is held back on candidates that can run them once short runs have
+// ended, one task each, and only from short tasks.
+func TestReserveInAFullPool(t *testing.T) {
+	step := &workload.Step{Count: 2, LongRunning: true, MaxPerWorker: 1, Resources: catalog.Resources{CPU: 3000}}
+	cpu := func(n int64) catalog.Resources { return catalog.Resources{CPU: n} }
+	for name, c := range map[string]struct {
+		candidates []Candidate
+		count      int
+		want       []int64 // reserved CPU by candidate
+	}{
+		"the one with the most free CPU": {[]Candidate{{Free: cpu(500), Ending: cpu(3500)}, {Free: cpu(1000), Ending: cpu(3000)}}, 1, []int64{0, 3000}},
+		"each on another":                {[]Candidate{{Free: cpu(500), Ending: cpu(3500)}, {Free: cpu(1000), Ending: cpu(3000)}}, 3, []int64{3000, 3000}},
+		"never enough":                   {[]Candidate{{Free: cpu(1000), Ending: cpu(1500)}}, 1, []int64{0}},
+		"runs another task of the step":  {[]Candidate{{Free: cpu(2000), Ending: cpu(2000), StepTasks: 1}}, 1, []int64{0}},
+		"about to go down":               {[]Candidate{{Free: cpu(2000), Ending: cpu(2000), DueForMaintenance: true}}, 1, []int64{0}},
+		"no task waits":                  {[]Candidate{{Free: cpu(2000), Ending: cpu(2000)}}, 0, []int64{0}},
+	} {
+		Reserve(step, c.candidates, c.count)
+		for i := range c.candidates {
+			if got := c.candidates[i].Reserved.CPU; got != c.want[i] {
+				t.Errorf("%s: %d reserved on candidate %d, want %d", name, got, i, c.want[i])
+			}
+		}
+	}
+	reserved := Candidate{Free: cpu(3500), Reserved: cpu(3000)}
+	if short := (&workload.Step{Resources: cpu(1000)}); reserved.Fits(short) {
+		t.Error("a short task takes what is reserved")
+	}
+	if !reserved.Fits(step) {
+		t.Error("a long-running task does not fit into what is reserved for it")
+	}
+}
