Count the known steps of accepted jobs and the capacity of long-running tasks in the forecast of a pool

Besides, the forecast of short work was compared with the capacity that long-running tasks hold as well. Change: pool.ExpectedCPU (pure) tells what an accepted job will use when an instance that is fetched now arrives; a pool fetches for the larger of it and the forecast, beside what its long-running tasks use.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -137,8 +137,13 @@
 	submissions       []reply     // calls to reject if the job is withdrawn before it is recorded
 	plan              plan
 	demanded          int // occurrences that count as demand on the pool
+	// stepsBegan holds when this owner placed the first task of each step.
+	stepsBegan map[occurrenceStep]time.Time
 }
 
+// occurrenceStep identifies a step of a job.
+type occurrenceStep struct{ occurrence, step int }
+
 func (j *job) status() jobs.Status {
 	return jobs.Status{
 		State: j.progress.State, Begun: j.progress.Begun, Interrupted: j.progress.Interrupted,
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -30,9 +30,15 @@
 			states[p.Name].ForecastCPU = demand.ForecastCPU(now, o.cfg.Timing.MoveTime, o.limitCPU)
 		}
 	}
+	for name, cpu := range o.expectedCPU(now) {
+		if s := states[name]; s != nil {
+			s.ExpectedCPU = cpu
+		}
+	}
 	for _, w := range o.workers {
 		if s := states[w.info.Pool]; s != nil {
 			s.UsedCPU += w.used.resources.CPU
+			s.LongRunningCPU += w.used.longRunning.CPU
 			if w.usable(now) {
 				s.FreeCPU += w.info.Capacity.CPU - w.used.resources.CPU
 			}
@@ -68,6 +74,34 @@
 	}
 }
 
+// expectedCPU returns, by pool, what the accepted jobs will use when an instance that is fetched now arrives.
+func (o *Owner) expectedCPU(now time.Time) map[string]int64 {
+	expected := map[string]int64{}
+	for _, j := range o.active {
+		q := o.cfg.Catalog().Queues[j.spec.Queue]
+		if q == nil || j.spec.IsLongRunning() {
+			continue
+		}
+		for _, occurrence := range j.progress.Current {
+			expected[q.Pool] += pool.ExpectedCPU(j.activeSteps(occurrence, now), o.cfg.Timing.MoveTime)
+		}
+	}
+	return expected
+}
+
+func (j *job) activeSteps(occurrence *workload.Occurrence, now time.Time) []pool.ActiveStep {
+	steps := make([]pool.ActiveStep, len(j.spec.Steps))
+	for i := range j.spec.Steps {
+		s := &j.spec.Steps[i]
+		steps[i] = pool.ActiveStep{
+			Unfinished: occurrence.Unfinished(i), CPU: s.ReservedResources().CPU, Estimate: s.Estimate, After: s.After}
+		if began, ok := j.stepsBegan[occurrenceStep{occurrence.Number, i}]; ok {
+			steps[i].Started, steps[i].Elapsed = true, now.Sub(began)
+		}
+	}
+	return steps
+}
+
 // poolLogInterval bounds the lines about pools to one for each pool and interval.
 const poolLogInterval = time.Second
 
@@ -80,7 +114,7 @@
 	for i := range list {
 		s := &list[i]
 		o.log.Info("pool state", "pool", s.Name, "used_cpu", s.UsedCPU, "free_cpu", s.FreeCPU, "pending_cpu", s.PendingCPU,
-			"forecast_cpu", s.ForecastCPU, "incoming", s.IncomingInstances, "idle", len(s.IdleInstances),
+			"forecast_cpu", s.ForecastCPU, "expected_cpu", s.ExpectedCPU, "incoming", s.IncomingInstances, "idle", len(s.IdleInstances),
 			"needed", s.InstancesNeeded)
 	}
 }
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -92,6 +92,7 @@
 		o.log.Error("placement rejected", "job", j.spec.ID, "err", err)
 		return
 	}
+	j.markBegun(ref)
 	p := &placement{job: j, ref: ref, taskName: workload.TaskName(j.spec.ID, ref), run: run, requestedAt: time.Now()}
 	o.reserve(w, p)
 	o.markDirty(j)
@@ -101,6 +102,18 @@
 	o.afterCommit(func() { o.sendStart(w, p, request) })
 }
 
+// markBegun records when the first task of a step was placed.
+func (j *job) markBegun(ref workload.TaskRef) {
+	key := occurrenceStep{ref.Occurrence, ref.Step}
+	if _, begun := j.stepsBegan[key]; begun {
+		return
+	}
+	if j.stepsBegan == nil {
+		j.stepsBegan = map[occurrenceStep]time.Time{}
+	}
+	j.stepsBegan[key] = time.Now()
+}
+
 // sendStart sends the start request of a recorded placement.
 func (o *Owner) sendStart(w *worker, p *placement, request workers.StartRequest) {
 	if w.runs[p.taskName] != p {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -49,8 +49,9 @@
 	// IncomingCPU is the capacity of the instances moving into the pool, IncomingInstances their number.
 	IncomingCPU       int64
 	IncomingInstances int
-	// ForecastCPU is the capacity that arriving work keeps busy.
-	ForecastCPU int64
+	// ForecastCPU is the capacity that arriving work keeps busy, ExpectedCPU what accepted jobs will use when an instance
+	// that is fetched now arrives, both without long-running tasks, which use LongRunningCPU.
+	ForecastCPU, ExpectedCPU, LongRunningCPU int64
 	// InstancesNeeded is how many additional instances long-running tasks need, regardless of runs that end.
 	InstancesNeeded int
 	IdleInstances   []Instance
@@ -68,7 +69,10 @@
 	return shortage
 }
 
-func (s *State) forecastCPU(p Policy) int64 { return int64(p.ForecastShare * float64(s.ForecastCPU)) }
+// forecastCPU returns the capacity that the pool will need when an instance that is fetched now arrives.
+func (s *State) forecastCPU(p Policy) int64 {
+	return s.LongRunningCPU + max(int64(p.ForecastShare*float64(s.ForecastCPU)), s.ExpectedCPU)
+}
 
 // Move sends an instance to another pool.
 type Move struct{ Instance, From, To string }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -79,6 +79,14 @@
 		"peak: arriving work needs the idle instance": {
 			[]State{{Name: "a", UsedCPU: 20_000, FreeCPU: 50_000, ForecastCPU: 80_000, IdleInstances: []Instance{idleInstance("a1", longIdle)}}, standby()}, nil,
 		},
+		"large jobs: fetches for their next steps": {
+			[]State{{Name: "a", UsedCPU: 20_000, FreeCPU: 10_000, ForecastCPU: 10_000, ExpectedCPU: 60_000}, standby(idleInstance("s1", 0), idleInstance("s2", 0), idleInstance("s3", 0))},
+			[]Move{{"s1", "standby", "a"}, {"s2", "standby", "a"}},
+		},
+		"start of a peak beside long-running tasks: their capacity does not serve it": {
+			[]State{{Name: "a", UsedCPU: 50_000, LongRunningCPU: 40_000, FreeCPU: 10_000, ForecastCPU: 50_000}, standby(idleInstance("s1", 0), idleInstance("s2", 0), idleInstance("s3", 0))},
+			[]Move{{"s1", "standby", "a"}, {"s2", "standby", "a"}},
+		},
 		"an instance that the pool rejects stays": {
 			[]State{{Name: "a", PendingCPU: 10_000}, standby(Instance{ID: "s1", CPU: 16_000, RejectedBy: []string{"a"}})}, nil,
 		},
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -342,6 +342,9 @@
 	return true
 }
 
+// Unfinished returns the number of tasks of a step that have not succeeded.
+func (o *Occurrence) Unfinished(step int) int { return o.unfinished[step] }
+
 // Occurrence returns the current occurrence with the given number, or nil.
 func (p *Progress) Occurrence(number int) *Occurrence {
 	for _, o := range p.Current {
