--- /dev/null
+++ b/internal/leader/term.go
@@ -0,0 +1,57 @@
+package leader
+
+import (
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Owner is the value of the owner's record.
+type Owner struct {
+	// Name is the name of the entry; Incarnation identifies one lifetime of its process.
+	Name        string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+	Address     string `cbor:"3,keyasint"` // IP:port of the peer protocol
+	// Fence increases with every change of owner.
+	Fence    int64 `cbor:"4,keyasint"`
+	Released bool  `cbor:"5,keyasint,omitempty"`
+}
+
+// Term is one continuous period of ownership.
+type Term struct {
+	Fence int64
+	// PredecessorEnded reports whether the previous owner certainly no longer renews its record: it released the record,
+	// its process ended, or there was no previous owner.
+	PredecessorEnded bool
+	// renewedAt is the boot-time clock in nanoseconds at which the last successful renewal was sent.
+	renewedAt atomic.Int64
+	// renewalFailing reports whether the latest renewal failed.
+	renewalFailing atomic.Bool
+}
+
+// NewTerm returns a term that was won now.
+func NewTerm(fence int64, predecessorEnded bool) *Term {
+	t := &Term{Fence: fence, PredecessorEnded: predecessorEnded}
+	t.MarkRenewed()
+	return t
+}
+
+// MarkRenewed records that the owner had not been replaced by now.
+func (t *Term) MarkRenewed() { t.renewedAt.Store(bootTime()) }
+
+// RenewalFailing reports whether the store did not accept the latest renewal: it may be unavailable, or reject this
+// instance alone.
+func (t *Term) RenewalFailing() bool { return t.renewalFailing.Load() }
+
+// Age returns the time since the owner last knew that it had not been replaced, including time in suspension.
+func (t *Term) Age() time.Duration { return time.Duration(bootTime() - t.renewedAt.Load()) }
+
+// bootTime returns CLOCK_BOOTTIME, which includes suspension of the instance, in nanoseconds.
+func bootTime() int64 {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return time.Now().UnixNano() // the kernel lacks CLOCK_BOOTTIME
+	}
+	return ts.Nano()
+}
