Let an owner whose append stalls find out at once whether the store answers it

Change: an append that has stalled asks the election for a renewal ahead of time, and a renewal fails after 0.4 s (the slowest known store takes 0.26 s). Ruled out: taking the stall itself as the sign, since a slow store with large batches stalls too.

--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -19,7 +19,7 @@
 		predecessor.Name == e.Self.Name
 	o := e.Self
 	o.Fence = e.nextOffset + 1
-	if err := e.write(ctx, o); err != nil {
+	if err := e.write(ctx, o, callTimeout); err != nil {
 		e.Log.Info("campaign for ownership failed", "err", err)
 		if !errors.Is(err, topic.ErrOffsetMismatch) {
 			wait.For(ctx, retryInterval)
@@ -50,12 +50,12 @@
 }
 
 // write appends an owner record on the condition that nothing else was appended since the last read.
-func (e *Elector) write(ctx context.Context, o Owner) error {
+func (e *Elector) write(ctx context.Context, o Owner, timeout time.Duration) error {
 	value, err := cbor.Marshal(o)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	expectedEnd := e.nextOffset
 	_, end, err := e.Store.Append(callCtx, ownerTopic, topic.Batch{
@@ -82,12 +82,12 @@
 	return err
 }
 
-// renew renews the record periodically until ctx ends or another owner is read.
+// renew renews the record periodically, or when asked to, until ctx ends or another owner is read.
 func (e *Elector) renew(ctx context.Context, o Owner, term *Term) {
 	pause := renewInterval
-	for wait.For(ctx, pause) {
+	for waitForRenewal(ctx, term, pause) {
 		sent := bootTime()
-		err := e.write(ctx, o)
+		err := e.write(ctx, o, renewTimeout)
 		if err == nil {
 			term.renewedAt.Store(sent)
 			term.renewalFailing.Store(false)
@@ -106,6 +106,19 @@
 	}
 }
 
+// waitForRenewal waits for pause or until a renewal is asked for. It reports false if ctx ends first.
+func waitForRenewal(ctx context.Context, term *Term, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-term.RenewalRequested():
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // release marks the record as released, so that another instance takes over without waiting for its expiry. It tries
 // again until the record has expired anyway, because a slow store may not answer in time.
 func (e *Elector) release(o Owner) {
@@ -113,7 +126,7 @@
 	defer cancel()
 	o.Released = true
 	for {
-		err := e.write(ctx, o)
+		err := e.write(ctx, o, callTimeout)
 		if err == nil {
 			e.setOwner(o)
 			return
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -26,7 +26,9 @@
 	// in the slowest known store, which then takes 0.96 s. An owner sends no orders for longer without a renewal.
 	SilentRecordTTL = 1300 * time.Millisecond
 	callTimeout     = 600 * time.Millisecond
-	retryInterval   = 100 * time.Millisecond
+	// renewTimeout bounds a renewal. An owner that fails to renew says so, and is replaced if the store answers others.
+	renewTimeout  = 400 * time.Millisecond
+	retryInterval = 100 * time.Millisecond
 	// followPollTimeout bounds a read of the owner's records and thereby the delay until an expiry is detected.
 	followPollTimeout = 500 * time.Millisecond
 	// maxInitialCampaignDelay is how long the weakest instance defers its campaign if there has never been an owner.
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -159,7 +159,7 @@
 	store := &topictest.Store{}
 	dead := Owner{Name: "dead", Incarnation: "x", Address: "x", Fence: 1}
 	e := &Elector{Store: store, Log: hclog.NewNullLogger()}
-	if err := e.write(t.Context(), dead); err != nil {
+	if err := e.write(t.Context(), dead, callTimeout); err != nil {
 		t.Fatal(err)
 	}
 	b := join(t, store, "b")
@@ -189,7 +189,7 @@
 
 	dead := Owner{Name: "dead", Incarnation: "x", Address: "x", Fence: 1}
 	store = &topictest.Store{}
-	if err := (&Elector{Store: store, Log: hclog.NewNullLogger()}).write(t.Context(), dead); err != nil {
+	if err := (&Elector{Store: store, Log: hclog.NewNullLogger()}).write(t.Context(), dead, callTimeout); err != nil {
 		t.Fatal(err)
 	}
 	c := join(t, store, "c")
@@ -237,7 +237,7 @@
 func TestSuspectedOwnerIsReplacedAtOnce(t *testing.T) {
 	store := &topictest.Store{}
 	e := &Elector{Store: store, Log: hclog.NewNullLogger()}
-	if err := e.write(t.Context(), Owner{Name: "dead", Incarnation: "x", Address: "x", Fence: 1}); err != nil {
+	if err := e.write(t.Context(), Owner{Name: "dead", Incarnation: "x", Address: "x", Fence: 1}, callTimeout); err != nil {
 		t.Fatal(err)
 	}
 	b := join(t, store, "b")
@@ -255,7 +255,7 @@
 func TestRestartedOwnerIsReplacedAtOnce(t *testing.T) {
 	store := &topictest.Store{}
 	e := &Elector{Store: store, Log: hclog.NewNullLogger()}
-	if err := e.write(t.Context(), Owner{Name: "a", Incarnation: "a-0", Address: "x", Fence: 1}); err != nil {
+	if err := e.write(t.Context(), Owner{Name: "a", Incarnation: "a-0", Address: "x", Fence: 1}, callTimeout); err != nil {
 		t.Fatal(err)
 	}
 	began := time.Now()
@@ -344,6 +344,46 @@
 	}
 }
 
+// hangingStore leaves the appends of one instance without an answer while switched on.
+type hangingStore struct {
+	topic.Store
+	on atomic.Bool
+}
+
+func (s *hangingStore) Append(ctx context.Context, name topic.Name, batch topic.Batch) (int64, int64, error) {
+	if s.on.Load() {
+		<-ctx.Done()
+		return 0, 0, ctx.Err()
+	}
+	return s.Store.Append(ctx, name, batch)
+}
+
+// Guards the time without service when the store does not answer the owner alone: a renewal that is asked for ahead of
+// time shows it. The owner of crt-rounds-large (trouble-1, 2.5 s) said so after 1.0 s, and served nobody until then.
+func TestRequestedRenewalShowsTheLossOfTheStore(t *testing.T) {
+	store := &hangingStore{Store: &topictest.Store{}}
+	e := &Elector{Store: store, Log: hclog.NewNullLogger(), Self: Owner{Name: "a"}}
+	if err := e.write(t.Context(), e.Self, callTimeout); err != nil {
+		t.Fatal(err)
+	}
+	e.setOwner(e.Self)
+	term := NewTerm(e.Self.Fence, true)
+	ctx, stop := context.WithCancel(t.Context())
+	renewed := make(chan struct{})
+	go func() { defer close(renewed); e.renew(ctx, e.Self, term) }()
+	store.on.Store(true)
+	term.RenewNow()
+	asked := time.Now()
+	await(t, "the renewal has failed", term.RenewalFailing)
+	if took := time.Since(asked); took > (renewTimeout+renewInterval+callTimeout)/2 {
+		t.Errorf("known after %v, want about %v", took, renewTimeout)
+	}
+	store.on.Store(false)
+	await(t, "the record is renewed again", func() bool { return !term.RenewalFailing() })
+	stop()
+	<-renewed
+}
+
 // Guards the choice of the successor of a cut owner: a strong instance wins although a weak one learns of the cut first.
 // A weak one once took over (ligeira-nordeste-grown, incident, 18.7 s) and could not keep up.
 func TestStrongInstanceReplacesCutOwner(t *testing.T) {
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -28,11 +28,12 @@
 	renewedAt atomic.Int64
 	// renewalFailing reports whether the latest renewal failed.
 	renewalFailing atomic.Bool
+	renewNow       chan struct{}
 }
 
 // NewTerm returns a term that was won now.
 func NewTerm(fence int64, predecessorEnded bool) *Term {
-	t := &Term{Fence: fence, PredecessorEnded: predecessorEnded}
+	t := &Term{Fence: fence, PredecessorEnded: predecessorEnded, renewNow: make(chan struct{}, 1)}
 	t.MarkRenewed()
 	return t
 }
@@ -40,6 +41,17 @@
 // MarkRenewed records that the owner had not been replaced by now.
 func (t *Term) MarkRenewed() { t.renewedAt.Store(bootTime()) }
 
+// RenewNow asks for a renewal ahead of time, which shows whether the store answers this instance.
+func (t *Term) RenewNow() {
+	select {
+	case t.renewNow <- struct{}{}:
+	default: // asked already
+	}
+}
+
+// RenewalRequested returns a channel that receives when RenewNow was called.
+func (t *Term) RenewalRequested() <-chan struct{} { return t.renewNow }
+
 // RenewalFailing reports whether the store did not accept the latest renewal: it may be unavailable, or reject this
 // instance alone.
 func (t *Term) RenewalFailing() bool { return t.renewalFailing.Load() }
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -21,8 +21,9 @@
 	inFlight  bool
 	// sequence numbers the appends of a term. Only the goroutine of the append in flight changes it.
 	sequence int64
-	// appendStarted is the start time of the append in flight.
+	// appendStarted is the start time of the append in flight; stallReported that it was found to have stalled.
 	appendStarted time.Time
+	stallReported bool
 }
 
 // markDirty adds a changed job to the next append.
@@ -69,7 +70,7 @@
 		runAll(effects)
 		return
 	}
-	c.inFlight = true
+	c.inFlight, c.stallReported = true, false
 	c.appendStarted = time.Now()
 	go func() {
 		if err := o.append(records); err != nil {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -407,6 +407,11 @@
 	}
 	if o.appendStalled() {
 		o.withdrawUnsent()
+		if !o.commit.stallReported {
+			o.commit.stallReported = true
+			o.log.Warn("append stalled", "ms", o.appendAge().Milliseconds())
+			o.term.RenewNow() // tells whether the store answers this instance at all
+		}
 	}
 	o.expireJobs(now)
 	o.forgetTickets()
--- a/internal/owner/rounds_test.go
+++ b/internal/owner/rounds_test.go
@@ -87,6 +87,11 @@
 		o.post(func() { inFlight <- o.commit.inFlight })
 		return <-inFlight
 	})
+	select {
+	case <-o.term.RenewalRequested():
+	case <-time.After(awaitTimeout):
+		t.Fatal("a stalled append does not make the owner check whether the store answers it")
+	}
 	healed := time.Now()
 	store.silent.Store(false)
 	if took := (<-done).Sub(healed); took > (appendRetryInterval+storeTimeout)/2 {
