--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -60,6 +60,19 @@
 	}
 }
 
+// lastRecord returns the newest record of an owner; the zero value if there is none.
+func lastRecord(t *testing.T, store topic.Store) (last Owner) {
+	t.Helper()
+	result, err := store.Read(t.Context(), ownerTopic, 0, 0)
+	if err != nil || len(result.Records) == 0 {
+		return Owner{}
+	}
+	if err := cbor.Unmarshal(result.Records[len(result.Records)-1].Value, &last); err != nil {
+		t.Fatal(err)
+	}
+	return last
+}
+
 func owners(all ...*candidate) int {
 	n := 0
 	for _, c := range all {
@@ -442,18 +455,7 @@
 	campaign := store.appends.Load()
 	await(t, "a renewal is in flight", func() bool { return store.appends.Load() > campaign })
 	a.stop()
-	released := func() bool {
-		result, err := store.Read(t.Context(), ownerTopic, 0, 0)
-		if err != nil || len(result.Records) == 0 {
-			return false
-		}
-		var last Owner
-		if err := cbor.Unmarshal(result.Records[len(result.Records)-1].Value, &last); err != nil {
-			t.Fatal(err)
-		}
-		return last.Released
-	}
-	await(t, "the record is released", released)
+	await(t, "the record is released", func() bool { return lastRecord(t, store).Released })
 	if n := store.mismatches.Load(); n > 0 {
 		t.Errorf("the release was refused %d times", n)
 	}
@@ -495,14 +497,7 @@
 	await(t, "a has tried to release its record", func() bool { return cut.rejected.Load() > 0 })
 	cut.on.Store(false)
 	await(t, "the record is released", func() bool {
-		result, err := store.Read(t.Context(), ownerTopic, 0, 0)
-		if err != nil || len(result.Records) == 0 {
-			return false
-		}
-		var last Owner
-		if err := cbor.Unmarshal(result.Records[len(result.Records)-1].Value, &last); err != nil {
-			t.Fatal(err)
-		}
+		last := lastRecord(t, store)
 		return last.Fence == fence && last.Released
 	})
 }
