Leave a silent owner to strong instances, like a cut one

Cause, found by reading: each instance learns of an owner's silence at its own time within half a second, so that a weak one could win before a strong one knows.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -42,9 +42,9 @@
 	// maxCutOwnerDelay is the same before an instance acts on an owner that cannot renew its record: several instances of
 	// a large deployment learn of it in that time.
 	maxCutOwnerDelay = 400 * time.Millisecond
-	// maxCutOwnerFactor is the highest campaign delay factor of an instance that acts on such an owner. A weaker one could
+	// maxEarlyFactor is the highest campaign delay factor of an instance that acts on a cut or silent owner. A weaker one could
 	// win although a strong one exists that has not learned of it; at the record's expiry all of them campaign.
-	maxCutOwnerFactor = 0.5
+	maxEarlyFactor = 0.5
 )
 
 const (
@@ -112,6 +112,9 @@
 // reason to replace it, because the fault may be in the network between: its record expires after SilentRecordTTL instead of
 // RecordTTL.
 func (e *Elector) SuspectSilent(fence int64) {
+	if e.tooWeakToActEarly() {
+		return
+	}
 	if e.silentFence.Swap(fence) != fence {
 		e.Wake()
 	}
@@ -124,7 +127,7 @@
 // read shows that the store answers this instance; in an outage of the store for all, it stays the owner.
 func (e *Elector) SuspectCut(fence int64) {
 	owner, ok := e.Current()
-	if !ok || owner.Fence != fence || owner.Name == e.Self.Name || e.CampaignDelayFactor > maxCutOwnerFactor {
+	if !ok || owner.Fence != fence || owner.Name == e.Self.Name || e.tooWeakToActEarly() {
 		return
 	}
 	if e.cutFence.Swap(fence) != fence {
@@ -132,6 +135,9 @@
 	}
 }
 
+// tooWeakToActEarly reports whether the instance leaves a cut or silent owner to stronger ones until its record expires.
+func (e *Elector) tooWeakToActEarly() bool { return e.CampaignDelayFactor > maxEarlyFactor }
+
 // checkCutOwner suspects an owner that cannot renew its record if the store answers this instance.
 func (e *Elector) checkCutOwner(ctx context.Context) {
 	fence := e.cutFence.Swap(0)
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -205,10 +205,16 @@
 	if err := (&Elector{Store: store, Log: hclog.NewNullLogger()}).write(t.Context(), dead, callTimeout); err != nil {
 		t.Fatal(err)
 	}
-	c := join(t, store, "c")
-	await(t, "c knows the owner", func() bool { _, ok := c.elector.Current(); return ok })
+	weak, c := joinAs(t, store, "weak", 1), join(t, store, "c")
+	for _, instance := range []*candidate{weak, c} {
+		await(t, "the owner is known", func() bool { _, ok := instance.elector.Current(); return ok })
+	}
 	began := time.Now()
+	weak.elector.SuspectSilent(dead.Fence)
 	c.elector.SuspectSilent(dead.Fence)
+	if weak.elector.silentFence.Load() != 0 {
+		t.Error("a weak instance acts early")
+	}
 	await(t, "c serves", func() bool { return c.serving.Load() > 0 })
 	if took := time.Since(began); took > (SilentRecordTTL+RecordTTL)/2 {
 		t.Errorf("replaced after %v, want about %v", took, SilentRecordTTL)
