Repeat an append after 0.7 s at the earliest

Change: the first repeat begins 0.7 s after the first attempt. An outage that is worth repeating for lasts longer anyway.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -141,9 +141,9 @@
 
 const (
 	// appendRetryAfter is how long the first attempt to append goes unanswered before another one begins beside it, and
-	// appendRetryInterval the time between later ones. A slow store takes 260 ms for a small append and up to 440 ms for a
-	// large one; it works on a repeated append as long as on any other, so that a needless one delays the next.
-	appendRetryAfter    = storeStallLimit + 100*time.Millisecond
+	// appendRetryInterval the time between later ones. A slow store takes up to half a second for a large append; it works on
+	// a repeated append as long as on any other, so that a needless one delays the next.
+	appendRetryAfter    = 700 * time.Millisecond
 	appendRetryInterval = 300 * time.Millisecond
 	maxAppendAttempts   = 3 // in flight at a time
 )
