--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -279,7 +279,7 @@
 			continue
 		}
 		if err := e.connectTo(ctx, owner, changed); err != nil {
-			e.Log.Debug("connecting to the owner failed", "owner", owner.Name, "fence", owner.Fence, "err", err)
+			e.Log.Debug("no connection to the owner", "owner", owner.Name, "fence", owner.Fence, "err", err)
 			switch {
 			case errors.Is(err, link.ErrProcessMismatch):
 				e.Elector.ConfirmEnded(owner.Fence)
@@ -294,7 +294,8 @@
 	}
 }
 
-// connectTo connects to an owner and returns when the connection is lost or the owner changes.
+// connectTo connects to an owner and returns when the connection is lost or the owner changes; link.ErrSilent if the owner
+// stopped answering.
 func (e *Entry) connectTo(ctx context.Context, owner leader.Owner, changed <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -19,7 +19,7 @@
 		predecessor.Name == e.Self.Name
 	o := e.Self
 	o.Fence = e.nextOffset + 1
-	if err := e.write(ctx, o, callTimeout); err != nil {
+	if err := e.write(ctx, o); err != nil {
 		e.Log.Info("campaign for ownership failed", "err", err)
 		if !errors.Is(err, topic.ErrOffsetMismatch) {
 			wait.For(ctx, retryInterval)
@@ -50,12 +50,12 @@
 }
 
 // write appends an owner record on the condition that nothing else was appended since the last read.
-func (e *Elector) write(ctx context.Context, o Owner, timeout time.Duration) error {
+func (e *Elector) write(ctx context.Context, o Owner) error {
 	value, err := cbor.Marshal(o)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	expectedEnd := e.nextOffset
 	_, end, err := e.Store.Append(callCtx, ownerTopic, topic.Batch{
@@ -88,7 +88,7 @@
 	for waitForRenewal(ctx, term, pause) {
 		sent := bootTime()
 		// A renewal in flight is awaited when the term ends: applied later, it would make the release fail.
-		err := e.write(context.WithoutCancel(ctx), o, callTimeout)
+		err := e.write(context.WithoutCancel(ctx), o)
 		if err == nil {
 			term.renewedAt.Store(sent)
 			term.renewalFailing.Store(false)
@@ -127,7 +127,7 @@
 	defer cancel()
 	o.Released = true
 	for {
-		err := e.write(ctx, o, callTimeout)
+		err := e.write(ctx, o)
 		if err == nil {
 			e.setOwner(o)
 			return
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -172,7 +172,7 @@
 	store := &topictest.Store{}
 	dead := Owner{Name: "dead", Incarnation: "x", Address: "x", Fence: 1}
 	e := &Elector{Store: store, Log: hclog.NewNullLogger()}
-	if err := e.write(t.Context(), dead, callTimeout); err != nil {
+	if err := e.write(t.Context(), dead); err != nil {
 		t.Fatal(err)
 	}
 	b := join(t, store, "b")
@@ -202,7 +202,7 @@
 
 	dead := Owner{Name: "dead", Incarnation: "x", Address: "x", Fence: 1}
 	store = &topictest.Store{}
-	if err := (&Elector{Store: store, Log: hclog.NewNullLogger()}).write(t.Context(), dead, callTimeout); err != nil {
+	if err := (&Elector{Store: store, Log: hclog.NewNullLogger()}).write(t.Context(), dead); err != nil {
 		t.Fatal(err)
 	}
 	weak, c := joinAs(t, store, "weak", 1), join(t, store, "c")
@@ -256,7 +256,7 @@
 func TestSuspectedOwnerIsReplacedAtOnce(t *testing.T) {
 	store := &topictest.Store{}
 	e := &Elector{Store: store, Log: hclog.NewNullLogger()}
-	if err := e.write(t.Context(), Owner{Name: "dead", Incarnation: "x", Address: "x", Fence: 1}, callTimeout); err != nil {
+	if err := e.write(t.Context(), Owner{Name: "dead", Incarnation: "x", Address: "x", Fence: 1}); err != nil {
 		t.Fatal(err)
 	}
 	b := join(t, store, "b")
@@ -274,7 +274,7 @@
 func TestRestartedOwnerIsReplacedAtOnce(t *testing.T) {
 	store := &topictest.Store{}
 	e := &Elector{Store: store, Log: hclog.NewNullLogger()}
-	if err := e.write(t.Context(), Owner{Name: "a", Incarnation: "a-0", Address: "x", Fence: 1}, callTimeout); err != nil {
+	if err := e.write(t.Context(), Owner{Name: "a", Incarnation: "a-0", Address: "x", Fence: 1}); err != nil {
 		t.Fatal(err)
 	}
 	began := time.Now()
@@ -382,7 +382,7 @@
 func TestRequestedRenewalShowsTheLossOfTheStore(t *testing.T) {
 	store := &hangingStore{Store: &topictest.Store{}}
 	e := &Elector{Store: store, Log: hclog.NewNullLogger(), Self: Owner{Name: "a"}}
-	if err := e.write(t.Context(), e.Self, callTimeout); err != nil {
+	if err := e.write(t.Context(), e.Self); err != nil {
 		t.Fatal(err)
 	}
 	e.setOwner(e.Self)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -213,7 +213,8 @@
 }
 
 // Dial connects to the owner's process with the given incarnation at an address (IP:port). onNewerConfig receives the
-// owner's configuration when it is newer than the caller's; onLost is called once when the connection ends.
+// owner's configuration when it is newer than the caller's; onLost is called once when the connection ends. Dial returns
+// ErrProcessMismatch if another process answers and ErrSilent if nobody does.
 func Dial(ctx context.Context, address, incarnation string, onNewerConfig func(document []byte),
 	onLost func()) (*Client, error) {
 	dialCtx, stopDial := context.WithTimeout(ctx, dialTimeout)
