--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -363,24 +363,10 @@
 	}
 }
 
-// hangingStore leaves the appends of one instance without an answer while switched on.
-type hangingStore struct {
-	topic.Store
-	on atomic.Bool
-}
-
-func (s *hangingStore) Append(ctx context.Context, name topic.Name, batch topic.Batch) (int64, int64, error) {
-	if s.on.Load() {
-		<-ctx.Done()
-		return 0, 0, ctx.Err()
-	}
-	return s.Store.Append(ctx, name, batch)
-}
-
 // Guards the time without service when the store does not answer the owner alone: a renewal that is asked for ahead of
 // time shows it. The owner of crt-rounds-large (trouble-1, 2.5 s) said so after 1.0 s, and served nobody until then.
 func TestRequestedRenewalShowsTheLossOfTheStore(t *testing.T) {
-	store := &hangingStore{Store: &topictest.Store{}}
+	store := &topictest.SilentAppends{Store: &topictest.Store{}}
 	e := &Elector{Store: store, Log: hclog.NewNullLogger(), Self: Owner{Name: "a"}}
 	if err := e.write(t.Context(), e.Self); err != nil {
 		t.Fatal(err)
@@ -390,14 +376,14 @@
 	ctx, stop := context.WithCancel(t.Context())
 	renewed := make(chan struct{})
 	go func() { defer close(renewed); e.renew(ctx, e.Self, term) }()
-	store.on.Store(true)
+	store.On.Store(true)
 	term.RenewNow()
 	asked := time.Now()
 	await(t, "the renewal has failed", term.RenewalFailing)
 	if took := time.Since(asked); took > callTimeout+renewInterval/2 {
 		t.Errorf("known after %v, want about %v", took, callTimeout)
 	}
-	store.on.Store(false)
+	store.On.Store(false)
 	await(t, "the record is renewed again", func() bool { return !term.RenewalFailing() })
 	stop()
 	<-renewed
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -138,12 +138,9 @@
 	plan              plan
 	demanded          int // occurrences that count as demand on the pool
 	// stepsBegan holds when this owner placed the first task of each step.
-	stepsBegan map[occurrenceStep]time.Time
+	stepsBegan map[stepKey]time.Time
 }
 
-// occurrenceStep identifies a step of a job.
-type occurrenceStep struct{ occurrence, step int }
-
 func (j *job) status() jobs.Status {
 	return jobs.Status{
 		State: j.progress.State, Begun: j.progress.Begun, Interrupted: j.progress.Interrupted,
@@ -297,15 +294,7 @@
 	} else {
 		o.ended = append(o.ended, endedJob{id, j.progress.EndedMS})
 	}
-	for _, occurrence := range j.progress.Current {
-		for step, tasks := range occurrence.Tasks {
-			for index := range tasks {
-				if t := &tasks[index]; t.Phase == workload.Placed {
-					o.adoptRun(j, workload.TaskRef{Occurrence: occurrence.Number, Step: step, Index: index}, t)
-				}
-			}
-		}
-	}
+	j.progress.EachPlaced(func(ref workload.TaskRef, t *workload.Task) { o.adoptRun(j, ref, t) })
 }
 
 // check returns the first reason why recorded parts of a job cannot be used. A malformed record must not end the
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -95,7 +95,7 @@
 		s := &j.spec.Steps[i]
 		steps[i] = pool.ActiveStep{
 			Unfinished: occurrence.Unfinished(i), CPU: s.ReservedResources().CPU, Estimate: s.Estimate, After: s.After}
-		if began, ok := j.stepsBegan[occurrenceStep{occurrence.Number, i}]; ok {
+		if began, ok := j.stepsBegan[stepKey{j, occurrence.Number, i}]; ok {
 			steps[i].Started, steps[i].Elapsed = true, now.Sub(began)
 		}
 	}
--- a/internal/owner/rounds_test.go
+++ b/internal/owner/rounds_test.go
@@ -10,16 +10,22 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/pollenford/pollenford/internal/topic"
+	"github.com/pollenford/pollenford/internal/topic/topictest"
 	"github.com/pollenford/pollenford/internal/workload"
 )
 
-// slowStore delays appends like a busy store.
-type slowStore struct{ topic.Store }
+// slowStore delays appends like a busy store, and counts them.
+type slowStore struct {
+	topic.Store
+	delay   time.Duration
+	appends atomic.Int64
+}
 
 const slowAppend = 40 * time.Millisecond
 
-func (s slowStore) Append(ctx context.Context, name topic.Name, batch topic.Batch) (int64, int64, error) {
-	time.Sleep(slowAppend)
+func (s *slowStore) Append(ctx context.Context, name topic.Name, batch topic.Batch) (int64, int64, error) {
+	s.appends.Add(1)
+	time.Sleep(s.delay)
 	return s.Store.Append(ctx, name, batch)
 }
 
@@ -28,7 +34,7 @@
 func TestOnePlacementRoundPerAppend(t *testing.T) {
 	h := newHarness(t)
 	scope := tally.NewTestScope("", nil)
-	h.scope, h.ownerStore = scope, slowStore{h.store}
+	h.scope, h.ownerStore = scope, &slowStore{Store: h.store, delay: slowAppend}
 	h.addWorker("w1", 5*time.Millisecond)
 	o := h.startOwner(true)
 	began := time.Now()
@@ -51,32 +57,15 @@
 	}
 }
 
-// silentStore leaves the appends of an outage without an answer, also once it is over, like a connection whose packets
-// were lost.
-type silentStore struct {
-	topic.Store
-	silent     atomic.Bool
-	unanswered atomic.Int64
-}
-
-func (s *silentStore) Append(ctx context.Context, name topic.Name, batch topic.Batch) (int64, int64, error) {
-	if s.silent.Load() {
-		s.unanswered.Add(1)
-		<-ctx.Done()
-		return 0, 0, ctx.Err()
-	}
-	return s.Store.Append(ctx, name, batch)
-}
-
 // At the end of an outage of the store work goes on without waiting for the time limit of an append that was sent during it.
 // On ligeira-nordeste (trouble-1, 35.6 s) everything was rejected for another 0.4 s.
 func TestAppendsResumeSoonAfterAnOutage(t *testing.T) {
 	h := newHarness(t)
-	store := &silentStore{Store: h.store}
+	store := &topictest.SilentAppends{Store: h.store}
 	h.ownerStore = store
 	h.addWorker("w1", 0)
 	o := h.startOwner(true)
-	store.silent.Store(true)
+	store.On.Store(true)
 	done := make(chan time.Time, 1)
 	go func() {
 		if err := o.Submit(t.Context(), newJob("a", 1)); err != nil {
@@ -94,9 +83,9 @@
 	case <-time.After(awaitTimeout):
 		t.Fatal("a stalled append does not make the owner check whether the store answers it")
 	}
-	h.await("the append is repeated", func() bool { return store.unanswered.Load() > 1 })
+	h.await("the append is repeated", func() bool { return store.Unanswered.Load() > 1 })
 	healed := time.Now()
-	store.silent.Store(false)
+	store.On.Store(false)
 	if took := (<-done).Sub(healed); took > (appendRetryInterval+storeTimeout)/2 {
 		t.Errorf("recorded %v after the store's return, want about %v", took, appendRetryInterval)
 	}
@@ -105,25 +94,14 @@
 	}
 }
 
-// unhurriedStore takes as long for each append as the slowest known store, and counts them.
-type unhurriedStore struct {
-	topic.Store
-	appends atomic.Int64
-}
-
-const unhurriedAppend = 440 * time.Millisecond
-
-func (s *unhurriedStore) Append(ctx context.Context, name topic.Name, batch topic.Batch) (int64, int64, error) {
-	s.appends.Add(1)
-	time.Sleep(unhurriedAppend)
-	return s.Store.Append(ctx, name, batch)
-}
+// longAppend is how long the slowest known store takes for an append.
+const longAppend = 440 * time.Millisecond
 
 // A slow store gets each append once: repeated ones delayed those that followed beyond the limit for stalled appends, and
 // new jobs were rejected (ligeira-nordeste, trouble-2, 11.5 s).
 func TestSlowStoreGetsEachAppendOnce(t *testing.T) {
 	h := newHarness(t)
-	store := &unhurriedStore{Store: h.store}
+	store := &slowStore{Store: h.store, delay: longAppend}
 	h.ownerStore = store
 	o := h.startOwner(true)
 	before := store.appends.Load()
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/juju/errors"
@@ -32,7 +33,7 @@
 
 // reserve adds a placement to the usage of its worker and of its organisation.
 func (o *Owner) reserve(w *worker, p *placement) {
-	step := &p.job.spec.Steps[p.ref.Step]
+	step := p.step()
 	w.runs[p.taskName] = p
 	w.used.resources = w.used.resources.Add(step.ReservedResources())
 	if step.LongRunning {
@@ -52,7 +53,7 @@
 
 // release reverses reserve.
 func (o *Owner) release(w *worker, p *placement) {
-	step := &p.job.spec.Steps[p.ref.Step]
+	step := p.step()
 	delete(w.runs, p.taskName)
 	w.idleSince = time.Now()
 	w.used.resources = w.used.resources.Sub(step.ReservedResources())
@@ -92,7 +93,7 @@
 		o.log.Error("placement rejected", "job", j.spec.ID, "err", err)
 		return
 	}
-	j.markBegun(ref)
+	j.markBegun(stepKey{j, ref.Occurrence, ref.Step})
 	p := &placement{job: j, ref: ref, taskName: workload.TaskName(j.spec.ID, ref), run: run, requestedAt: time.Now()}
 	o.reserve(w, p)
 	o.markDirty(j)
@@ -102,15 +103,15 @@
 	o.afterCommit(func() { o.sendStart(w, p, request) })
 }
 
-// markBegun records when the first task of a step was placed.
-func (j *job) markBegun(ref workload.TaskRef) {
-	key := occurrenceStep{ref.Occurrence, ref.Step}
+// markBegun records when the first task of a step was placed, and forgets the occurrences that have ended.
+func (j *job) markBegun(key stepKey) {
 	if _, begun := j.stepsBegan[key]; begun {
 		return
 	}
 	if j.stepsBegan == nil {
-		j.stepsBegan = map[occurrenceStep]time.Time{}
+		j.stepsBegan = map[stepKey]time.Time{}
 	}
+	maps.DeleteFunc(j.stepsBegan, func(k stepKey, _ time.Time) bool { return j.progress.Occurrence(k.occurrence) == nil })
 	j.stepsBegan[key] = time.Now()
 }
 
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -270,25 +270,13 @@
 	o.markDirty(j)
 	o.metrics.ended[j.progress.State.String()].Inc(1)
 	o.log.Info("job ended", "job", id, "state", j.progress.State.String(), "ms", j.progress.EndedMS-j.spec.ReceivedMS)
-	o.eachRun(j, func(w *worker, p *placement) {
-		o.afterCommit(func() { o.stopRun(w, p) })
-	})
-}
-
-// eachRun calls visit for each placed run of a job.
-func (o *Owner) eachRun(j *job, visit func(w *worker, p *placement)) {
-	for _, occurrence := range j.progress.Current {
-		for step, tasks := range occurrence.Tasks {
-			for index := range tasks {
-				w := o.workers[tasks[index].Worker]
-				if tasks[index].Phase != workload.Placed || w == nil {
-					continue
-				}
-				ref := workload.TaskRef{Occurrence: occurrence.Number, Step: step, Index: index}
-				if p := w.runs[workload.TaskName(j.spec.ID, ref)]; p != nil {
-					visit(w, p)
-				}
-			}
+	j.progress.EachPlaced(func(ref workload.TaskRef, t *workload.Task) {
+		w := o.workers[t.Worker]
+		if w == nil {
+			return
 		}
-	}
+		if p := w.runs[workload.TaskName(id, ref)]; p != nil {
+			o.afterCommit(func() { o.stopRun(w, p) })
+		}
+	})
 }
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -198,6 +198,19 @@
 	return nil
 }
 
+// EachPlaced calls visit for each placed task of the current occurrences.
+func (p *Progress) EachPlaced(visit func(r TaskRef, t *Task)) {
+	for _, o := range p.Current {
+		for step, tasks := range o.Tasks {
+			for index := range tasks {
+				if t := &tasks[index]; t.Phase == Placed {
+					visit(TaskRef{Occurrence: o.Number, Step: step, Index: index}, t)
+				}
+			}
+		}
+	}
+}
+
 // Task returns a task of a current occurrence, or nil.
 func (p *Progress) Task(r TaskRef) *Task {
 	o := p.Occurrence(r.Occurrence)
