--- a/review/probe/cases.go
+++ b/review/probe/cases.go
@@ -315,7 +315,7 @@
 	return nil
 }
 
-// workerReborn crashes the only worker with a label again and again. Each time it starts again soon, under its id.
+// workerReborn crashes the only worker of a kind again and again. Each time it starts again soon, under its id.
 func workerReborn(w *world) error {
 	const (
 		length   = 70 * time.Second
@@ -347,7 +347,7 @@
 	for i := 0; time.Since(began) < length; i++ {
 		id := fmt.Sprintf("5c0e7a21d9%06x", i)
 		j, body := w.newJob(id, 1, tasks, 300, work{RunMS: 60})
-		body = strings.Replace(body, `"count":`, fmt.Sprintf(`"requires":%q,"count":`, specialLabel), 1)
+		body = strings.Replace(body, `"count":`, fmt.Sprintf(`"requires":%q,"count":`, specialKind), 1)
 		t.jobs = append(t.jobs, j)
 		t.all.Go(func() { j.accepted = w.client.submit(i, host, j.prefix, tenantKey, j.id, body) })
 		time.Sleep(time.Until(began.Add(time.Duration(i+1) * interval)))
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -122,8 +122,8 @@
 	service    = "round-desk"
 	tenantKey  = "key-of-the-north-yards"
 	workers    = 6
-	// specialLabel is a label that only the last worker has.
-	specialLabel = "forge"
+	// Kinds of the workers. Only the last one is of the special kind.
+	usualKind, specialKind = "a", "b"
 )
 
 type route struct {
@@ -172,11 +172,11 @@
 	w.publish(3, planRoute, quoteRoute)
 	for i := range workers {
 		zone := []string{"ie-a", "ie-b", "ie-c"}[i%3]
-		var labels []string
+		kind := usualKind
 		if i == workers-1 {
-			labels = []string{specialLabel}
+			kind = specialKind
 		}
-		if err := w.fleet.add(w.store, fmt.Sprintf("7f3a%04x", i), service, zone, "r1-"+zone, labels...); err != nil {
+		if err := w.fleet.add(w.store, fmt.Sprintf("7f3a%04x", i), service, kind, zone, "r1-"+zone); err != nil {
 			return err
 		}
 	}
@@ -223,7 +223,7 @@
 	rows := []map[string]any{}
 	for _, k := range w.fleet.workers {
 		rows = append(rows, map[string]any{
-			"machine": k.machine, "pool": k.service, "state": "up", "zone": "ie-a", "labels": []string{"a", k.rack},
+			"machine": k.machine, "pool": k.service, "state": "up", "zone": "ie-a", "labels": k.labels,
 			"capacity": map[string]int{"cpu": workerCPU, "mem_mb": workerMemoryMB}, "id": k.id})
 	}
 	writeJSON(res, http.StatusOK, map[string]any{"machines": rows})
--- a/review/probe/workers.go
+++ b/review/probe/workers.go
@@ -91,13 +91,13 @@
 }
 
 // add starts a worker and registers it in the store until the end of the case.
-func (f *fleet) add(s *store, name, service, zone, rack string, labels ...string) error {
+func (f *fleet) add(s *store, name, service, kind, zone, rack string) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	w := &worker{fleet: f, id: "i-" + name, service: service, rack: rack, machine: "m-" + name,
-		labels: append(append([]string{"a"}, labels...), rack), born: time.Now()}
+		labels: []string{kind, rack}, born: time.Now()}
 	w.forget()
 	if w.gate, w.address, err = newGate(l.Addr().String()); err != nil {
 		return err
