Log which term finds no job, how old it is, and first reads of the owner

The record of the incident cannot tell a 410 from a term that was over, a 410 before a late submission and a cancel that a successor did not carry out. The owner now logs 'no such job' with the call and the age of its term, and 'job cancelled' with that age; 'owner changed' tells a restarted process from a change of owner. One line a decision, no logic has changed.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -191,7 +191,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.known || o.Fence != e.current.Fence || o.Released != e.current.Released {
-		e.Log.Info("owner changed", "owner", o.Name, "fence", o.Fence, "released", o.Released)
+		// A process that starts again reads the same owner once more.
+		e.Log.Info("owner changed", "owner", o.Name, "fence", o.Fence, "released", o.Released, "first_read", !e.known)
 		e.ownerSuspected.Store(false)
 		if e.changed != nil {
 			close(e.changed)
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -135,11 +135,13 @@
 	o.afterCommit(effect)
 }
 
-// runForJob is runInLoop for a job of the organisation; the error is jobs.ErrNoSuchJob for any other job.
-func (o *Owner) runForJob(ctx context.Context, id, organisation string, call func(j *job, r reply)) error {
+// runForJob is runInLoop for a job of the organisation; the error is jobs.ErrNoSuchJob for any other job. The name of the
+// call is for the log.
+func (o *Owner) runForJob(ctx context.Context, name, id, organisation string, call func(j *job, r reply)) error {
 	return o.runInLoop(ctx, func(r reply) {
 		j := o.jobs[id]
 		if j == nil || j.progress.Organisation != "" && j.progress.Organisation != organisation {
+			o.log.Info("no such job", "job", id, "call", name, "term_age_ms", o.term.Age().Milliseconds())
 			r.send(jobs.ErrNoSuchJob)
 			return
 		}
@@ -150,7 +152,7 @@
 // Status implements jobs.Service. It returns the last recorded status; unrecorded changes are not visible.
 func (o *Owner) Status(ctx context.Context, id, organisation string) (jobs.Status, error) {
 	var status jobs.Status
-	err := o.runForJob(ctx, id, organisation, func(j *job, r reply) {
+	err := o.runForJob(ctx, "status", id, organisation, func(j *job, r reply) {
 		respond := func() {
 			if o.jobs[id] != j {
 				r.send(jobs.ErrNoSuchJob) // it was withdrawn meanwhile
@@ -173,10 +175,10 @@
 
 // Cancel implements jobs.Service.
 func (o *Owner) Cancel(ctx context.Context, id, organisation string) error {
-	return o.runForJob(ctx, id, organisation, func(j *job, r reply) {
+	return o.runForJob(ctx, "cancel", id, organisation, func(j *job, r reply) {
 		if j.progress.Cancel() {
 			o.metrics.cancelled.Inc(1)
-			o.log.Info("job cancelled", "job", id)
+			o.log.Info("job cancelled", "job", id, "term_age_ms", o.term.Age().Milliseconds())
 			o.endJob(j)
 		}
 		o.whenRecorded(j, func() { r.send(nil) })
@@ -186,7 +188,7 @@
 // Await implements jobs.Service.
 func (o *Owner) Await(ctx context.Context, id, organisation string) (jobs.Status, error) {
 	var status jobs.Status
-	err := o.runForJob(ctx, id, organisation, func(j *job, r reply) {
+	err := o.runForJob(ctx, "await", id, organisation, func(j *job, r reply) {
 		if j.neverRecorded {
 			j.submissions = append(j.submissions, r) // a withdrawn job never ends
 		}
