--- a/internal/topic/follow.go
+++ b/internal/topic/follow.go
@@ -19,7 +19,8 @@
 	PollTimeout time.Duration
 	// MinInterval, if set, is the minimum time between two reads. It bounds the call rate on a constantly changing topic.
 	MinInterval time.Duration
-	// OnSnapshot receives the latest record of every key, at the start and after a gap caused by retention.
+	// OnSnapshot receives the latest record of every key, at the start and after a gap caused by retention. It and OnRecords
+	// also receive the records that could not be read.
 	OnSnapshot func(records []Record)
 	// OnRecords receives the records appended since. A call without records shows that the store is responding.
 	OnRecords func(records []Record, end int64)
@@ -69,7 +70,7 @@
 func (f *Follower) step(ctx context.Context, nextOffset *int64) (err error) {
 	defer guard.Recover(f.Log, "follow "+string(f.Topic), &err)
 	if *nextOffset < 0 {
-		records, end, err := ReadSnapshot(ctx, f.Store, f.Topic)
+		records, end, err := readSnapshot(ctx, f.Store, f.Topic)
 		if err != nil {
 			return err
 		}
--- a/internal/topic/topic.go
+++ b/internal/topic/topic.go
@@ -30,9 +30,11 @@
 // Record is one record of a keyed topic.
 type Record struct {
 	Key string
-	// Value is nil if the record deletes its key.
+	// Value is nil if the record deletes its key, and empty if the record could not be read.
 	Value  []byte
 	Offset int64
+	// Err is why the record could not be read; nil if it was. Its key may be missing then.
+	Err error
 }
 
 // Producer identifies a writer whose appends are fenced and numbered.
@@ -71,8 +73,22 @@
 }
 
 // ReadSnapshot returns the latest record of each key and the end of the partition as of the first page. A reader that
-// continues from that offset misses no record.
+// continues from that offset misses no record. A record that cannot be read is an error.
 func ReadSnapshot(ctx context.Context, store Store, name Name) ([]Record, int64, error) {
+	records, end, err := readSnapshot(ctx, store, name)
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, r := range records {
+		if r.Err != nil {
+			return nil, 0, errors.Annotatef(r.Err, "record with key %q at offset %d", r.Key, r.Offset)
+		}
+	}
+	return records, end, nil
+}
+
+// readSnapshot is ReadSnapshot, and includes records that cannot be read.
+func readSnapshot(ctx context.Context, store Store, name Name) ([]Record, int64, error) {
 	var all []Record
 	var end int64
 	after := ""
