Give a worker no new work once its entry has turned odd

What callers would see: an entry that another writer overwrites with something unreadable leaves its worker in use as it was known before. New tasks go on being placed there, also if the worker is draining or has left. Cause: applyWorkerRecords skipped a record that names no worker without a look at the worker that the key named until then.

Such a record now ends the registration of its worker, like one that deletes the key. The worker's session goes on: its runs keep their leases, their ends are recorded, and none is started again while the worker responds. A good entry takes the worker into use again.

--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -53,7 +54,8 @@
 // harness runs owners against an in-memory store and a fleet of fake workers.
 type harness struct {
 	t           testing.TB
-	discardLogs bool // disables the owners' logs
+	discardLogs bool      // disables the owners' logs
+	logs        io.Writer // also receives the owners' logs, unless it is nil
 	scope       tally.Scope
 	ownerStore  topic.Store // the store that owners use; store unless a test wraps it
 	store       *topictest.Store
@@ -118,7 +120,11 @@
 func (h *harness) startOwner(predecessorEnded bool) *runningOwner {
 	h.fence++
 	ctx, cancel := context.WithCancel(context.Background())
-	log := hclog.New(&hclog.LoggerOptions{Output: testWriter{h.t}, Level: hclog.Debug})
+	var output io.Writer = testWriter{h.t}
+	if h.logs != nil {
+		output = io.MultiWriter(output, h.logs)
+	}
+	log := hclog.New(&hclog.LoggerOptions{Output: output, Level: hclog.Debug})
 	if h.discardLogs {
 		log = hclog.NewNullLogger()
 	}
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -129,18 +129,18 @@
 
 func (o *Owner) applyWorkerRecords(records []topic.Record) {
 	for _, r := range records {
-		if r.Value == nil {
-			if w := o.workers[r.Key]; w != nil && w.registered {
-				o.workerDeregistered(w)
+		if r.Value != nil {
+			info, err := o.cfg.Codec.DecodeWorker(r)
+			if err == nil {
+				o.workerRegistered(info)
+				continue
 			}
-			continue
-		}
-		info, err := o.cfg.Codec.DecodeWorker(r)
-		if err != nil {
 			o.logOnce(o.cfg.Codec.WorkerTopic(), r, err)
-			continue
 		}
-		o.workerRegistered(info)
+		// A record that names no worker to use ends an earlier registration, like one that deletes its key.
+		if w := o.workers[r.Key]; w != nil && w.registered {
+			o.workerDeregistered(w)
+		}
 	}
 }
 
