--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -29,6 +29,8 @@
 	Moving        State = "moving"
 	InMaintenance State = "upkeep"
 	Down          State = "down"
+	// Unknown is the state of an instance whose listing cannot be used.
+	Unknown State = "unknown"
 )
 
 // Instance is an instance as listed by the platform.
@@ -41,6 +43,9 @@
 	Capacity catalog.Resources
 	// Worker is the ID of the worker that runs on the instance.
 	Worker string
+	// Err is why the listing cannot be used; nil if it can. Otherwise the state is Unknown, the ID may be missing and the
+	// other fields are empty.
+	Err error
 }
 
 // OwnerID identifies the owner to the instance service.
--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -39,6 +39,7 @@
 type fleetState struct {
 	instances map[string]*instance
 	listed    bool
+	unnamed   int // listed instances whose ID could not be read
 	waves     map[int64]*wave
 	nextPlan  time.Time
 	// poolsLogged is when the states of the pools were last logged.
@@ -195,14 +196,39 @@
 	for _, inst := range o.fleet.instances {
 		inst.listed = false
 	}
+	unnamed := 0
 	for _, info := range all {
+		if info.ID == "" {
+			if unnamed++; unnamed == 1 && o.fleet.unnamed == 0 {
+				o.log.Warn("instance skipped", "instance", "", "err", info.Err)
+			}
+			continue
+		}
 		inst := o.fleet.instances[info.ID]
 		if inst == nil {
 			inst = &instance{}
 			o.fleet.instances[info.ID] = inst
 		}
-		inst.info, inst.listed = info, true
+		inst.listed = true
+		if info.State != instances.Unknown {
+			inst.info = info
+			continue
+		}
+		if inst.info.State != instances.Unknown {
+			o.log.Warn("instance skipped", "instance", info.ID, "err", info.Err)
+		}
+		inst.info.ID, inst.info.State = info.ID, instances.Unknown // its pool and worker stay as last listed
+	}
+	o.fleet.unnamed = unnamed
+}
+
+// stateUnknown reports whether the list does not tell the state of an instance. One that is missing may be listed
+// without a readable ID; otherwise it was removed.
+func (o *Owner) stateUnknown(inst *instance) bool {
+	if inst == nil || !inst.listed {
+		return o.fleet.unnamed > 0
 	}
+	return inst.info.State == instances.Unknown
 }
 
 // tickFleet advances waves and balances the pools every planInterval.
@@ -230,6 +256,16 @@
 	var candidates []*instance
 	for _, id := range w.Instances {
 		inst := o.fleet.instances[id]
+		if o.stateUnknown(inst) {
+			// Nothing is ordered for it, and its maintenance may be in progress.
+			if !w.begun[id] {
+				remaining++
+			}
+			if w.begun[id] || slices.Contains(w.progress.Ordered, id) || inst != nil && !inst.cordonedAt.IsZero() {
+				inProgress++
+			}
+			continue
+		}
 		if inst == nil || !inst.listed {
 			continue // the instance was removed
 		}
--- a/internal/owner/fleet_test.go
+++ b/internal/owner/fleet_test.go
@@ -35,6 +35,7 @@
 	ignoreMoves   bool          // moves get no response and have no effect
 	ignoredMoves  int
 	listings      int
+	view          func([]instances.Instance) []instances.Instance // changes what is listed, unless it is nil
 }
 
 func (h *harness) withControl() *fakeControl {
@@ -99,7 +100,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.listings++
-	return slices.Clone(c.list), "", nil
+	list := slices.Clone(c.list)
+	if c.view != nil {
+		list = c.view(list)
+	}
+	return list, "", nil
+}
+
+// show sets how the list of instances is changed before it is returned, and waits until it has been read twice.
+func (c *fakeControl) show(view func([]instances.Instance) []instances.Instance) {
+	c.mu.Lock()
+	c.view = view
+	listings := c.listings
+	c.mu.Unlock()
+	c.h.await("the list is read", func() bool { return c.count(&c.listings) >= listings+2 })
 }
 
 // StartMaintenance implements instances.Control.
--- a/internal/owner/odd_entry_test.go
+++ b/internal/owner/odd_entry_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/pollenford/pollenford/internal/instances"
 	"github.com/pollenford/pollenford/internal/topic"
 	"github.com/pollenford/pollenford/internal/workers"
 	"github.com/pollenford/pollenford/internal/workload"
@@ -222,3 +224,120 @@
 		})
 	}
 }
+
+// oddViews returns lists in which an instance cannot be used: with its ID, and without.
+func oddViews(id string) map[string]func([]instances.Instance) []instances.Instance {
+	odd := instances.Instance{State: instances.Unknown, Err: errors.NotValidf("item of a test")}
+	replace := func(item instances.Instance) func([]instances.Instance) []instances.Instance {
+		return func(list []instances.Instance) []instances.Instance {
+			for i := range list {
+				if list[i].ID == id {
+					list[i] = item
+				}
+			}
+			return list
+		}
+	}
+	named := odd
+	named.ID = id
+	return map[string]func([]instances.Instance) []instances.Instance{"with its ID": replace(named), "without its ID": replace(odd)}
+}
+
+// Guards against a wave that is reported as completed, or stopped, because one of its instances is listed in a way that
+// cannot be used.
+func TestWaveWithOddInstance(t *testing.T) {
+	for name, view := range oddViews("i2") {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			logs := &logBuffer{}
+			h.logs = logs
+			c := h.withControl()
+			c.add("i1", false)
+			c.add("i2", false)
+			c.view = view
+			h.startOwner(true)
+			h.startWave(2, "i1", "i2")
+			h.await("the other instance is maintained", func() bool { return slices.Equal(c.ordered(), []string{"upkeep i1"}) })
+			c.show(view)
+			c.show(view)
+			if h.waveCompleted() {
+				t.Error("the wave is completed without its second instance")
+			}
+			if n := logs.count("instance skipped"); n != 1 {
+				t.Errorf("%d lines about the instance, want one", n)
+			}
+			c.show(nil)
+			h.await("the wave is completed", h.waveCompleted)
+			if orders := c.ordered(); !slices.Equal(orders, []string{"upkeep i1", "upkeep i2"}) {
+				t.Errorf("orders %v", orders)
+			}
+		})
+	}
+}
+
+// Guards against maintenance that ends runs because the list does not tell the worker of their instance.
+func TestOddInstanceKeepsItsRuns(t *testing.T) {
+	for name, view := range oddViews("i1") {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			c := h.withControl()
+			c.add("i1", false)
+			o := h.startOwner(true)
+			h.submit(o, atMostOnceJob("a"))
+			h.await("the task runs", func() bool { return len(h.fleet.Running()) == 1 })
+			h.startWave(1, "i1")
+			h.await("the instance is cordoned", func() bool {
+				cordoned := make(chan bool, 1)
+				o.post(func() {
+					inst := o.fleet.instances["i1"]
+					cordoned <- inst != nil && !inst.cordonedAt.IsZero()
+				})
+				return <-cordoned
+			})
+			c.show(view)
+			time.Sleep(drainTimeout + time.Second)
+			if orders := c.ordered(); len(orders) != 0 || len(h.fleet.Running()) != 1 {
+				t.Errorf("orders %v while the task runs", orders)
+			}
+			c.show(nil)
+			if err := o.Cancel(t.Context(), "a", "org"); err != nil {
+				t.Fatal(err)
+			}
+			h.await("the wave is completed", h.waveCompleted)
+		})
+	}
+}
+
+// Guards against work that a successor places on an instance whose move is unanswered, because it does not know where the
+// instance is.
+func TestSuccessorKeepsMoveOfOddInstance(t *testing.T) {
+	for name, view := range oddViews("i1") {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			first, c := h.startWithIdleInstance()
+			c.mu.Lock()
+			c.ignoreMoves = true
+			c.mu.Unlock()
+			first.moveToStandby("i1")
+			h.await("the move was ordered", func() bool { return c.count(&c.ignoredMoves) > 0 })
+			first.stop()
+			c.mu.Lock()
+			c.ignoreMoves, c.view = false, view
+			c.mu.Unlock()
+			second := h.startOwner(true)
+			h.submit(second, newJob("a", 1))
+			for range 3 {
+				c.show(view)
+			}
+			if n := len(h.startsOf("a.0.0.0")); n > 0 {
+				t.Error("a task was placed on an instance with an unanswered move")
+			}
+			c.show(nil)
+			h.await("the move is repeated", func() bool { return slices.Contains(c.ordered(), "move i1 standby") })
+			h.await("the task runs once an instance is back", func() bool { return len(h.startsOf("a.0.0.0")) == 1 })
+		})
+	}
+}
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -219,6 +219,9 @@
 func (o *Owner) resumeMoves() {
 	for id, order := range o.fleet.inheritedMoves {
 		inst := o.fleet.instances[id]
+		if o.stateUnknown(inst) {
+			continue // the order may still take effect
+		}
 		w := o.workers[order.Worker]
 		idle := w == nil || len(w.runs) == 0 // an owner of an earlier version placed work regardless of the record
 		if idle && inst != nil && inst.listed && inst.info.Pool != order.To && inst.info.Worker == order.Worker {
