Use no worker of a service that is not configured

What callers would see: an entry of an unknown service, with the machine of a good worker or under its ID and with a later `born`, made the owner give up the runs of that worker and start them again beside themselves. Cause: a well-formed entry was registered whatever its service. Registering an incarnation ends the runs of the earlier ones on its instance.

Such an entry is now treated like one that cannot be read: logged once, no session, and an earlier registration of its ID ends. It is kept apart and registered when the owner reads a configuration that names the service, because a worker may register before that. Not covered: an entry of a configured service that is well-formed and names the machine or the ID of a good worker with a later `born` still ends its runs; nothing in the entry tells it from a restart.

--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -134,6 +134,7 @@
 			o.logOnce(o.cfg.Codec.OperatorTopic(), r, err)
 		case decoded.Catalog != nil:
 			o.cfg.OnCatalog(decoded.Catalog)
+			o.registerUnconfigured()
 			o.replan = true
 		case decoded.Wave != nil:
 			w := o.getOrCreateWave(decoded.Wave.Number)
--- a/internal/owner/odd_entry_test.go
+++ b/internal/owner/odd_entry_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/pollenford/pollenford/internal/catalog"
 	"github.com/pollenford/pollenford/internal/instances"
 	"github.com/pollenford/pollenford/internal/topic"
 	"github.com/pollenford/pollenford/internal/workers"
@@ -341,3 +342,45 @@
 		})
 	}
 }
+
+// Guards against an entry of a service that is not configured: it names no worker, so it must not end the runs on the
+// instance, or of the worker, that it names. It counts once its service is configured.
+func TestEntryOfAnUnknownService(t *testing.T) {
+	for _, id := range []string{"w2", "w1"} {
+		t.Run("of worker "+id, func(t *testing.T) {
+			h := newHarness(t)
+			logs := &logBuffer{}
+			h.logs = logs
+			worker := h.addWorker("w1", 0)
+			good := h.workerInfos["w1"]
+			o := h.startOwner(true)
+			h.submit(o, newJob("a", 1))
+			h.await("the task runs", func() bool { return len(worker.Running()) == 1 })
+			odd := good
+			odd.ID, odd.Pool, odd.Incarnation, odd.Address = id, "other", 99, "address of nobody"
+			h.publish(odd)
+			h.addWorker("w3", 0)
+			h.await("the later worker is known", func() bool {
+				known := make(chan bool, 1)
+				o.post(func() { w := o.workers["w3"]; known <- w != nil && w.sessionEstablished })
+				return <-known
+			})
+			time.Sleep(2 * placementRetryInterval)
+			if n := len(h.startsOf("a.0.0.0")); n != 1 {
+				t.Errorf("the task was started %d times", n)
+			}
+			if n := logs.count("record skipped", "key="+id); n != 1 {
+				t.Errorf("the entry was logged %d times, want once", n)
+			}
+			known := make(chan int64, 1)
+			h.catalog.Store(catalog.New(2, nil, []*catalog.Pool{{Name: testPool}, {Name: "other"}}, nil, catalog.HTTPLimits{}))
+			o.post(func() {
+				o.registerUnconfigured()
+				known <- o.workers[id].info.Incarnation
+			})
+			if incarnation := <-known; incarnation != 99 {
+				t.Errorf("incarnation %d once the service is configured, want 99", incarnation)
+			}
+		})
+	}
+}
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -115,6 +115,7 @@
 
 // applyWorkerSnapshot applies a snapshot of the worker directory. Workers missing from it have left or expired.
 func (o *Owner) applyWorkerSnapshot(records []topic.Record) {
+	clear(o.workerIndex.unconfigured)
 	registered := map[string]bool{}
 	for _, r := range records {
 		registered[r.Key] = r.Value != nil
@@ -129,12 +130,12 @@
 
 func (o *Owner) applyWorkerRecords(records []topic.Record) {
 	for _, r := range records {
+		info, err := o.decodeWorker(r)
+		if err == nil {
+			o.workerRegistered(info)
+			continue
+		}
 		if r.Value != nil {
-			info, err := o.cfg.Codec.DecodeWorker(r)
-			if err == nil {
-				o.workerRegistered(info)
-				continue
-			}
 			o.logOnce(o.cfg.Codec.WorkerTopic(), r, err)
 		}
 		// A record that names no worker to use ends an earlier registration, like one that deletes its key.
@@ -144,6 +145,34 @@
 	}
 }
 
+// decodeWorker returns the worker that a record names. One of a pool that is not configured is kept for
+// registerUnconfigured.
+func (o *Owner) decodeWorker(r topic.Record) (workers.Info, error) {
+	delete(o.workerIndex.unconfigured, r.Key)
+	if r.Value == nil {
+		return workers.Info{}, errors.NotFoundf("worker %q", r.Key)
+	}
+	info, err := o.cfg.Codec.DecodeWorker(r)
+	if err == nil && o.cfg.Catalog().Pools[info.Pool] == nil {
+		if o.workerIndex.unconfigured == nil {
+			o.workerIndex.unconfigured = map[string]workers.Info{}
+		}
+		o.workerIndex.unconfigured[r.Key] = info
+		err = errors.NotFoundf("pool %q", info.Pool)
+	}
+	return info, err
+}
+
+// registerUnconfigured registers the workers whose pools have been configured since their records were read.
+func (o *Owner) registerUnconfigured() {
+	for id, info := range o.workerIndex.unconfigured {
+		if o.cfg.Catalog().Pools[info.Pool] != nil {
+			delete(o.workerIndex.unconfigured, id)
+			o.workerRegistered(info)
+		}
+	}
+}
+
 func (o *Owner) workerDeregistered(w *worker) {
 	o.log.Info("worker deregistered", "worker", w.info.ID, "runs", len(w.runs))
 	w.registered = false
--- a/internal/owner/workerindex.go
+++ b/internal/owner/workerindex.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/pollenford/pollenford/internal/workers"
 )
 
 // workerIndex finds workers by pool and by instance, so that a placement round walks one pool and a directory record one
@@ -11,6 +13,8 @@
 	// byPool holds the workers of each pool ordered by ID; nil after a change, until the next look-up.
 	byPool     map[string][]*worker
 	byInstance map[string][]*worker
+	// unconfigured holds, by ID, the workers of pools that are not configured.
+	unconfigured map[string]workers.Info
 }
 
 // moved updates the index after a worker's pool or instance changed, or after the worker was created.
