Confirm the term before an owner denies a job, and after a pause before it answers at all

Cause: an owner answered 'no such job' from memory, whatever had happened since its term was last known to be valid. A successor may have accepted the job meanwhile: the owner was frozen, or the store turned it away. After a pause, counts, states and rejections came from memory too. TestReplacedOwnerDeniesNoJob and TestPausedOwnerAnswersNothingUnconfirmed failed ('the replaced owner answered: no such job', 'the paused owner answered: <nil>'). Change: one gate in runInLoop, which all calls pass. A denial waits for an append that was sent after the call came; without records it is an empty one, which the store rejects once a successor has raised the producer's epoch, and a successor accepts jobs only after that. After a pause of the event loop on the boot-time clock every call waits so. Behind a store that does not answer, held calls are rejected at once. Ruled out: trusting the age of the term. An owner that refuses connections or cannot renew its record is replaced at once, so no age is safe short of making successors wait.

--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -13,7 +13,7 @@
 
 // campaign tries to become the owner and, on success, serves until the term ends.
 func (e *Elector) campaign(ctx context.Context) {
-	sent := bootTime()
+	sent := BootTime()
 	predecessor, known := e.lastOwner()
 	predecessorEnded := !known || predecessor.Released || predecessor.Fence == e.endedFence.Load() ||
 		predecessor.Name == e.Self.Name
@@ -28,7 +28,7 @@
 	}
 	e.setOwner(o)
 	term := NewTerm(o.Fence, predecessorEnded)
-	term.renewedAt.Store(sent)
+	term.renewedAt.Store(int64(sent))
 	termCtx, cancel := context.WithCancel(ctx)
 	e.setEndTerm(cancel)
 	defer e.setEndTerm(nil)
@@ -86,11 +86,11 @@
 func (e *Elector) renew(ctx context.Context, o Owner, term *Term) {
 	pause := renewInterval
 	for waitForRenewal(ctx, term, pause) {
-		sent := bootTime()
+		sent := BootTime()
 		// A renewal in flight is awaited when the term ends: applied later, it would make the release fail.
 		err := e.write(context.WithoutCancel(ctx), o)
 		if err == nil {
-			term.renewedAt.Store(sent)
+			term.renewedAt.Store(int64(sent))
 			term.renewalFailing.Store(false)
 			pause = renewInterval
 			continue
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -39,7 +39,7 @@
 }
 
 // MarkRenewed records that the owner had not been replaced by now.
-func (t *Term) MarkRenewed() { t.renewedAt.Store(bootTime()) }
+func (t *Term) MarkRenewed() { t.renewedAt.Store(int64(BootTime())) }
 
 // RenewNow asks for a renewal ahead of time, which shows whether the store answers this instance.
 func (t *Term) RenewNow() {
@@ -57,13 +57,13 @@
 func (t *Term) RenewalFailing() bool { return t.renewalFailing.Load() }
 
 // Age returns the time since the owner last knew that it had not been replaced, including time in suspension.
-func (t *Term) Age() time.Duration { return time.Duration(bootTime() - t.renewedAt.Load()) }
+func (t *Term) Age() time.Duration { return BootTime() - time.Duration(t.renewedAt.Load()) }
 
-// bootTime returns CLOCK_BOOTTIME, which includes suspension of the instance, in nanoseconds.
-func bootTime() int64 {
+// BootTime returns CLOCK_BOOTTIME, the time since the instance was booted. It includes suspension.
+func BootTime() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		return time.Now().UnixNano() // the kernel lacks CLOCK_BOOTTIME
+		return time.Duration(time.Now().UnixNano()) // the kernel lacks CLOCK_BOOTTIME
 	}
-	return ts.Nano()
+	return time.Duration(ts.Nano())
 }
--- a/internal/owner/answers_test.go
+++ b/internal/owner/answers_test.go
@@ -119,7 +119,7 @@
 			h.startOwner(true)
 			answered := make(chan error, 1)
 			go func() { answered <- call(t.Context(), o) }()
-			time.Sleep(2 * 500 * time.Millisecond) // the length of the pause is under test
+			time.Sleep(2 * pauseLimit) // the length of the pause is under test
 			close(resume)
 			if err := <-answered; err == nil || errors.Is(err, jobs.ErrNoSuchJob) {
 				t.Errorf("the paused owner answered: %v", err)
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -19,6 +19,10 @@
 	records   []topic.Record
 	effects   []func()
 	inFlight  bool
+	// held are calls that wait for the next append, heldInFlight those of the append in flight (see confirm.go).
+	held, heldInFlight []*heldCall
+	// confirmedPauses is the number of pauses after which an append was sent that succeeded.
+	confirmedPauses int
 	// sequence numbers the appends of a term. Only the goroutine of the append in flight changes it.
 	sequence int64
 	// appendStarted is the start time of the append in flight; stallReported that it was found to have stalled.
@@ -52,10 +56,10 @@
 // appendStalled reports whether the append in flight has taken so long that nothing new should wait for it.
 func (o *Owner) appendStalled() bool { return o.appendAge() > storeStallLimit }
 
-// flush starts an append of the pending decisions unless one is in flight.
+// flush starts an append of the pending decisions unless one is in flight. An append without records confirms the term.
 func (o *Owner) flush() {
 	c := &o.commit
-	if c.inFlight || len(c.dirtyJobs)+len(c.records)+len(c.effects) == 0 {
+	if c.inFlight || len(c.dirtyJobs)+len(c.records)+len(c.effects)+len(c.held) == 0 {
 		return
 	}
 	records, dirtyJobs, effects := c.records, c.dirtyJobs, c.effects
@@ -66,10 +70,12 @@
 		records = o.appendJob(records, j)
 		statuses[i] = j.status()
 	}
-	if len(records) == 0 {
+	if len(records)+len(c.held) == 0 {
 		runAll(effects)
 		return
 	}
+	c.held, c.heldInFlight = nil, c.held
+	pauses := o.pauses
 	c.inFlight, c.stallReported = true, false
 	c.appendStarted = time.Now()
 	go func() {
@@ -87,6 +93,7 @@
 				j.notifyWaiters()
 			}
 			runAll(effects)
+			o.releaseHeld(pauses)
 		})
 	}()
 }
@@ -122,8 +129,12 @@
 	return data
 }
 
-// append writes records to the store, split into batches of at most MaxAppendBytes.
+// append writes records to the store, split into batches of at most MaxAppendBytes. Without records it only confirms that
+// no successor has fenced this owner.
 func (o *Owner) append(records []topic.Record) error {
+	if len(records) == 0 {
+		return o.appendBatch(topic.Batch{Producer: o.producer()})
+	}
 	for len(records) > 0 {
 		n, size := 0, 0
 		for n < len(records) && (n == 0 || size+recordSize(records[n]) <= o.cfg.MaxAppendBytes) {
--- /dev/null
+++ b/internal/owner/confirm.go
@@ -0,0 +1,68 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/pollenford/pollenford/internal/leader"
+)
+
+// pauseLimit is how long the event loop may stand still before the term counts as unconfirmed. A tick is due every
+// tickInterval, and a successor needs longer than that to take over from a silent owner.
+const pauseLimit = 500 * time.Millisecond
+
+// heldCall is a call that waits until an append confirms the term.
+type heldCall struct {
+	r        reply
+	run      func()
+	rejected bool
+}
+
+// hold runs a call once the store has shown that no successor had fenced this owner when hold was called. A successor
+// accepts jobs only after it has fenced its predecessors. The call is rejected if the store does not answer.
+func (o *Owner) hold(r reply, run func()) {
+	if o.appendStalled() {
+		r.send(o.storeStalled())
+		return
+	}
+	o.commit.held = append(o.commit.held, &heldCall{r: r, run: run})
+}
+
+// releaseHeld runs the held calls of an append that succeeded, which was sent after the given number of pauses.
+func (o *Owner) releaseHeld(pauses int) {
+	c := &o.commit
+	held := c.heldInFlight
+	c.heldInFlight, c.confirmedPauses = nil, pauses
+	if o.unconfirmed() { // by a pause since
+		c.held = append(held, c.held...)
+		return
+	}
+	for _, call := range held {
+		if !call.rejected {
+			call.run()
+		}
+	}
+}
+
+// rejectHeld rejects the held calls behind an append that the store does not answer. None of them has been carried out.
+func (o *Owner) rejectHeld() {
+	c := &o.commit
+	for _, call := range append(c.held, c.heldInFlight...) {
+		call.rejected = true
+		call.r.send(o.storeStalled())
+	}
+	c.held, c.heldInFlight = nil, nil
+}
+
+// unconfirmed reports whether the event loop has stood still and no append has confirmed the term since. Another owner may
+// have taken over meanwhile.
+func (o *Owner) unconfirmed() bool { return o.pauses > o.commit.confirmedPauses }
+
+// noticePause checks whether the event loop has stood still since the last check, including suspension of the instance.
+func (o *Owner) noticePause() {
+	now := leader.BootTime()
+	if pause := now - o.lastTurn; o.lastTurn != 0 && pause > pauseLimit {
+		o.pauses++
+		o.log.Info("event loop stood still: the term is to be confirmed", "ms", pause.Milliseconds())
+	}
+	o.lastTurn = now
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -105,6 +105,8 @@
 	workerIndex      workerIndex
 	usage            map[string]catalog.Resources // resources of all runs that may be active, by organisation
 	recoveredAt      time.Time
+	lastTurn         time.Duration // boot-time clock of the last check for a pause; 0 before the first
+	pauses           int           // of the event loop
 	commit           committer
 	rounds           roundBuffers
 	replan           bool // a change may allow further placements
@@ -380,6 +382,7 @@
 func (o *Owner) leading() bool { return o.term.Age() < maxRenewalAge }
 
 func (o *Owner) tick() {
+	o.noticePause()
 	now := time.Now()
 	for _, w := range o.workers {
 		o.checkWorkerTimeouts(w, now)
@@ -396,6 +399,7 @@
 	}
 	if o.appendStalled() {
 		o.withdrawUnsent()
+		o.rejectHeld()
 		if !o.commit.stallReported {
 			o.commit.stallReported = true
 			o.log.Warn("append stalled", "ms", o.appendAge().Milliseconds())
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -31,10 +31,18 @@
 	}
 }
 
-// runInLoop runs a call in the event loop and returns its result; jobs.ErrOutcomeUnknown if ctx or the term ends first.
+// runInLoop runs a call in the event loop and returns its result; jobs.ErrOutcomeUnknown if ctx or the term ends first. All
+// calls pass here: after a pause none is answered from memory before the term is confirmed.
 func (o *Owner) runInLoop(ctx context.Context, call func(r reply)) error {
 	r := make(reply, 1)
-	if !o.post(func() { call(r) }) {
+	gated := func() {
+		if o.noticePause(); o.unconfirmed() {
+			o.hold(r, func() { call(r) })
+			return
+		}
+		call(r)
+	}
+	if !o.post(gated) {
 		return &jobs.Rejection{Reason: "the owner has stopped", RetryAfter: time.Second}
 	}
 	select {
@@ -135,20 +143,34 @@
 	o.afterCommit(effect)
 }
 
-// runForJob is runInLoop for a job of the organisation; the error is jobs.ErrNoSuchJob for any other job. The name of the
-// call is for the log.
+// runForJob is runInLoop for a job of the organisation; the error is jobs.ErrNoSuchJob for any other job. A successor may
+// have accepted a job that is not in memory, so the store confirms the term first. The name of the call is for the log.
 func (o *Owner) runForJob(ctx context.Context, name, id, organisation string, call func(j *job, r reply)) error {
 	return o.runInLoop(ctx, func(r reply) {
-		j := o.jobs[id]
-		if j == nil || j.progress.Organisation != "" && j.progress.Organisation != organisation {
-			o.log.Info("no such job", "job", id, "call", name, "term_age_ms", o.term.Age().Milliseconds())
-			r.send(jobs.ErrNoSuchJob)
+		if j := o.jobOf(id, organisation); j != nil {
+			call(j, r)
 			return
 		}
-		call(j, r)
+		o.hold(r, func() {
+			if j := o.jobOf(id, organisation); j != nil { // submitted meanwhile
+				call(j, r)
+				return
+			}
+			o.log.Info("no such job", "job", id, "call", name, "term_age_ms", o.term.Age().Milliseconds())
+			r.send(jobs.ErrNoSuchJob)
+		})
 	})
 }
 
+// jobOf returns a job that the organisation may see, or nil.
+func (o *Owner) jobOf(id, organisation string) *job {
+	j := o.jobs[id]
+	if j == nil || j.progress.Organisation != "" && j.progress.Organisation != organisation {
+		return nil
+	}
+	return j
+}
+
 // Status implements jobs.Service. It returns the last recorded status; unrecorded changes are not visible.
 func (o *Owner) Status(ctx context.Context, id, organisation string) (jobs.Status, error) {
 	var status jobs.Status
