Reject a job whose ID is too long for the key of a record

Cause: the ID is part of the keys in the store, which have at most 255 bytes; the append was refused by the client and repeated for ever. Change: Validate, which entries and the owner call, rejects IDs of more than 200 bytes for good. Measured: TestValidateRejectsInvalidJobs ('long ID: accepted') and TestJobWithAnIDTooLongForTheStoreIsRejected ('<nil>, want a permanent rejection') failed before and pass.

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -438,6 +439,21 @@
 	h.awaitState(o, "b", workload.Completed)
 }
 
+// Guards the store's appends: one request whose ID is too long for the key of a record stopped all that came after it.
+func TestJobWithAnIDTooLongForTheStoreIsRejected(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1", 10*time.Millisecond)
+	o := h.startOwner(true)
+	var rejection *jobs.Rejection
+	err := o.Submit(t.Context(), newJob(strings.Repeat("5", workload.MaxIDBytes+1), 1))
+	if !errors.As(err, &rejection) || !rejection.Permanent {
+		t.Errorf("%v, want a permanent rejection", err)
+	}
+	h.submit(o, newJob(strings.Repeat("5", workload.MaxIDBytes), 1))
+	h.submit(o, newJob("b", 1))
+	h.awaitState(o, "b", workload.Completed)
+}
+
 // A draining worker must receive no new work.
 func TestDrainingWorkerGetsNoNewWork(t *testing.T) {
 	h := newHarness(t)
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -104,10 +104,15 @@
 	maxDueMS = 1 << 61
 	// MaxSpecBytes bounds the specification of a job, as published for clients.
 	MaxSpecBytes = 4000
+	// MaxIDBytes bounds the ID of a job, which is part of its keys in the store; those have at most 255 bytes.
+	MaxIDBytes = 200
 )
 
 // Validate returns a NotValid error that names the first invalid property of the job, or nil.
 func (j *Job) Validate() error {
+	if len(j.ID) > MaxIDBytes {
+		return errors.NotValidf("job ID of %d bytes (at most %d)", len(j.ID), MaxIDBytes)
+	}
 	if len(j.Spec) > MaxSpecBytes {
 		return errors.NotValidf("spec of %d bytes (at most %d)", len(j.Spec), MaxSpecBytes)
 	}
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -283,6 +284,7 @@
 		"negative amount":     func(j *Job) { j.Steps[0].Resources.CPU = -1 },
 		"no period":           func(j *Job) { j.Repeats = 2 },
 		"long spec":           func(j *Job) { j.Spec = fmt.Sprintf("%5000d", 1) },
+		"long ID":             func(j *Job) { j.ID = strings.Repeat("5", MaxIDBytes+1) },
 	} {
 		j := good()
 		corrupt(j)
