Record the cancel of a job that has not arrived, so that its submission does not run

Callers saw: a cancel answered with 410, and the job ran all the same. The submission was still on its way (held by an entry without an owner, or repeated by its client after no answer) and was accepted after the cancel. Cause: 'no such job' was an answer about one moment that callers must read as final; nothing kept it true. Class: a negative answer that leaves no trace. Evidence: TestSubmissionAfterItsCancelDoesNotRun failed ('the job is active after its submission, want cancelled'), with the same owner and with the next one. Change: the cancel is recorded like that of a known job, marked as not submitted, and kept as long as the status of an ended job. The submission that comes after it is accepted once and stays cancelled; until then nobody sees the job. It binds only the organisation that sent it, and their number is bounded. Ruled out: rejecting the late submission; a client without an answer repeats it, and 429 or 503 would invite it to. Measured: the test passes, with TestCancelOfUnknownJobBindsOnlyItsOrganisation and TestCancelsOfUnknownJobsAreBounded; go test -race of owner, entry, workload and api passed.

--- a/internal/owner/answers_test.go
+++ b/internal/owner/answers_test.go
@@ -87,6 +87,31 @@
 	h.awaitState(o, "a", workload.Completed)
 }
 
+// Cancels of unknown jobs are bounded, and forgotten with the status of ended jobs.
+func TestCancelsOfUnknownJobsAreBounded(t *testing.T) {
+	h := newHarness(t)
+	o := h.startOwner(true)
+	inLoop := func(do func()) {
+		done := make(chan bool)
+		o.post(func() { do(); close(done) })
+		<-done
+	}
+	if err := o.Cancel(t.Context(), "a", "org"); !errors.Is(err, jobs.ErrNoSuchJob) {
+		t.Fatalf("cancel of an unknown job: %v", err)
+	}
+	inLoop(func() { o.unsubmitted += maxUnsubmitted - 1 })
+	var rejection *jobs.Rejection
+	if err := o.Cancel(t.Context(), "b", "org"); !errors.As(err, &rejection) || !rejection.Overloaded {
+		t.Errorf("%v, want a rejection for overload", err)
+	}
+	inLoop(func() {
+		o.expireJobs(time.Now().Add(o.cfg.Timing.StatusRetention + 2*statusRetentionMargin))
+		if want := maxUnsubmitted - 1; o.unsubmitted != want || len(o.jobs) != 0 {
+			t.Errorf("%d cancels counted and %d jobs kept, want %d and 0", o.unsubmitted, len(o.jobs), want)
+		}
+	})
+}
+
 // Guards against answers from a term that was over: after a pause, in which a successor may have taken over, an owner
 // answers nothing from memory until the store has confirmed its term.
 func TestPausedOwnerAnswersNothingUnconfirmed(t *testing.T) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -101,6 +101,7 @@
 	jobs             map[string]*job
 	active           map[string]*job // jobs that have not ended
 	ended            []endedJob      // ordered by end time
+	unsubmitted      int             // jobs that were cancelled before they were submitted
 	workers          map[string]*worker
 	workerIndex      workerIndex
 	usage            map[string]catalog.Resources // resources of all runs that may be active, by organisation
@@ -287,6 +288,9 @@
 			return
 		}
 		j.specDeleted = true
+		if j.progress.Unsubmitted {
+			o.unsubmitted++
+		}
 		o.ended = append(o.ended, endedJob{id, j.progress.EndedMS})
 		return
 	}
@@ -428,6 +432,7 @@
 		}
 		o.ended = o.ended[1:]
 		if j != nil {
+			o.forgetUnsubmitted(j)
 			delete(o.jobs, id)
 			o.queueRecord(topic.Record{Key: progressKeyPrefix + id})
 			o.queueRecord(topic.Record{Key: jobKeyPrefix + id})
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -62,7 +62,7 @@
 		return &jobs.Rejection{Reason: err.Error(), Permanent: true}
 	}
 	return o.runInLoop(ctx, func(r reply) {
-		if j := o.jobs[spec.ID]; j != nil {
+		if j := o.jobs[spec.ID]; j != nil && o.joinSubmission(j, spec) {
 			o.acknowledge(j, r)
 			return
 		}
@@ -156,16 +156,21 @@
 				call(j, r)
 				return
 			}
-			o.log.Info("no such job", "job", id, "call", name, "term_age_ms", o.term.Age().Milliseconds())
-			r.send(jobs.ErrNoSuchJob)
+			o.denyJob(name, id, r)
 		})
 	})
 }
 
+// denyJob answers that a job does not exist. The term must have been confirmed since the call came.
+func (o *Owner) denyJob(name, id string, r reply) {
+	o.log.Info("no such job", "job", id, "call", name, "term_age_ms", o.term.Age().Milliseconds())
+	r.send(jobs.ErrNoSuchJob)
+}
+
 // jobOf returns a job that the organisation may see, or nil.
 func (o *Owner) jobOf(id, organisation string) *job {
 	j := o.jobs[id]
-	if j == nil || j.progress.Organisation != "" && j.progress.Organisation != organisation {
+	if j == nil || j.progress.Unsubmitted || j.progress.Organisation != "" && j.progress.Organisation != organisation {
 		return nil
 	}
 	return j
@@ -195,9 +200,15 @@
 	return status, nil
 }
 
-// Cancel implements jobs.Service.
+// Cancel implements jobs.Service. The cancel of a job that has not arrived is recorded as well: its submission may be on its
+// way, or be repeated.
 func (o *Owner) Cancel(ctx context.Context, id, organisation string) error {
-	return o.runForJob(ctx, "cancel", id, organisation, func(j *job, r reply) {
+	return o.runInLoop(ctx, func(r reply) {
+		j := o.jobOf(id, organisation)
+		if j == nil {
+			o.cancelUnsubmitted(id, organisation, r)
+			return
+		}
 		if j.progress.Cancel() {
 			o.metrics.cancelled.Inc(1)
 			o.log.Info("job cancelled", "job", id, "term_age_ms", o.term.Age().Milliseconds())
