Do not take a pause of the owner for silence of the store

Callers saw: a submission rejected as never run by an owner that had been frozen, while its successor ran the job that the client had handed in again. Cause: the age of the append in flight counted the time in which the owner itself stood still, so that the first tick after a pause withdrew all jobs that waited for the next append. Same class as the denials: an answer from a term that may be over. Change: the age of an append leaves out pauses of the event loop. A pause counts from 0.3 s on, below the limit for a stalled append. The append is then answered by the store: a replaced owner's term ends, and its callers go on to the successor.

--- a/internal/owner/answers_test.go
+++ b/internal/owner/answers_test.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/pollenford/pollenford/internal/jobs"
+	"github.com/pollenford/pollenford/internal/topic/topictest"
 	"github.com/pollenford/pollenford/internal/workload"
 )
 
@@ -152,3 +153,35 @@
 		})
 	}
 }
+
+// Guards against a rejection of a job that its successor runs: after a pause an owner took its own standstill for silence of
+// the store and withdrew the jobs that no append contained.
+func TestPausedOwnerWithdrawsNoJob(t *testing.T) {
+	h := newHarness(t)
+	silent := &topictest.SilentAppends{Store: h.store}
+	h.ownerStore = silent
+	o := h.startOwner(true)
+	silent.On.Store(true)
+	first, behind := make(chan error, 1), make(chan error, 1)
+	go func() { first <- o.Submit(t.Context(), newJob("first", 1)) }()
+	h.await("an append is in flight", func() bool { return silent.Unanswered.Load() > 0 })
+	go func() { behind <- o.Submit(t.Context(), newJob("behind", 1)) }()
+	paused, resume := make(chan bool), make(chan bool)
+	h.await("the other job waits for an append", func() bool {
+		waits := make(chan bool, 1)
+		o.post(func() { waits <- o.jobs["behind"] != nil })
+		return <-waits
+	})
+	o.post(func() { close(paused); <-resume })
+	<-paused
+	silent.On.Store(false)
+	time.Sleep(storeStallLimit + 100*time.Millisecond) // the length of the pause is under test
+	successor := h.startOwner(true)
+	h.submit(successor, newJob("behind", 1)) // its client tries again
+	close(resume)
+	var rejection *jobs.Rejection
+	if err := <-behind; errors.As(err, &rejection) {
+		t.Errorf("the paused owner rejected a job that its successor has accepted: %v", err)
+	}
+	<-first
+}
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -25,7 +25,8 @@
 	confirmedPauses int
 	// sequence numbers the appends of a term. Only the goroutine of the append in flight changes it.
 	sequence int64
-	// appendStarted is the start time of the append in flight; stallReported that it was found to have stalled.
+	// appendStarted is the start time of the append in flight, later by the pauses of the event loop since; stallReported that
+	// it was found to have stalled.
 	appendStarted time.Time
 	stallReported bool
 }
@@ -45,7 +46,7 @@
 // afterCommit runs an effect once all decisions made so far are recorded.
 func (o *Owner) afterCommit(effect func()) { o.commit.effects = append(o.commit.effects, effect) }
 
-// appendAge returns how long the append in flight has taken so far; 0 without one.
+// appendAge returns how long the append in flight has taken so far, without pauses of the event loop; 0 without one.
 func (o *Owner) appendAge() time.Duration {
 	if !o.commit.inFlight {
 		return 0
@@ -77,13 +78,14 @@
 	c.held, c.heldInFlight = nil, c.held
 	pauses := o.pauses
 	c.inFlight, c.stallReported = true, false
-	c.appendStarted = time.Now()
+	started := time.Now()
+	c.appendStarted = started
 	go func() {
 		if err := o.append(records); err != nil {
 			o.cancel(err)
 			return
 		}
-		o.metrics.appendLatency.RecordDuration(time.Since(c.appendStarted))
+		o.metrics.appendLatency.RecordDuration(time.Since(started))
 		o.post(func() {
 			c.inFlight = false
 			for i, j := range dirtyJobs {
--- a/internal/owner/confirm.go
+++ b/internal/owner/confirm.go
@@ -6,9 +6,10 @@
 	"github.com/pollenford/pollenford/internal/leader"
 )
 
-// pauseLimit is how long the event loop may stand still before the term counts as unconfirmed. A tick is due every
-// tickInterval, and a successor needs longer than that to take over from a silent owner.
-const pauseLimit = 500 * time.Millisecond
+// pauseLimit is how long the event loop may stand still before the term counts as unconfirmed. It is shorter than
+// storeStallLimit, so that a pause is not mistaken for silence of the store, and than the time in which a silent owner is
+// replaced.
+const pauseLimit = 300 * time.Millisecond
 
 // heldCall is a call that waits until an append confirms the term.
 type heldCall struct {
@@ -62,6 +63,7 @@
 	now := leader.BootTime()
 	if pause := now - o.lastTurn; o.lastTurn != 0 && pause > pauseLimit {
 		o.pauses++
+		o.commit.appendStarted = o.commit.appendStarted.Add(pause)
 		o.log.Info("event loop stood still: the term is to be confirmed", "ms", pause.Milliseconds())
 	}
 	o.lastTurn = now
