--- a/internal/workers/workertest/fleet.go
+++ b/internal/workers/workertest/fleet.go
@@ -22,16 +22,20 @@
 	mu      sync.Mutex
 	workers map[string]*Worker // by address; protected by mu
 	// starts lists all started runs in order; protected by mu.
-	starts []Start
+	starts []*Start
 }
 
 // Start describes a started run.
 type Start struct {
 	Worker, Task string
 	Run          int
+	Fence        int64
 	At           time.Time
 	Checkpoint   string
 	Ticket       string
+	// EndedAt is zero while the run is active. EndReason is empty for a run that was lost with its worker.
+	EndedAt   time.Time
+	EndReason workers.EndReason
 }
 
 // Worker is one worker of a fleet.
@@ -71,6 +75,7 @@
 }
 
 type run struct {
+	start     *Start
 	number    int
 	startedAt time.Time
 	endsAt    time.Time // zero for a run that continues until it is stopped
@@ -84,6 +89,7 @@
 	if f.workers == nil {
 		f.workers = map[string]*Worker{}
 	}
+	f.loseRuns(address)
 	w := &Worker{
 		fleet: f, ID: id, Incarnation: incarnation, RunTime: runTime, startedAt: time.Now(),
 		runs: map[string]*run{}, highestRun: map[string]int{}, runEnded: make(chan struct{}),
@@ -96,9 +102,22 @@
 func (f *Fleet) Remove(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.loseRuns(address)
 	delete(f.workers, address)
 }
 
+// loseRuns records the end of the runs at an address, whose worker disappears. The caller holds mu.
+func (f *Fleet) loseRuns(address string) {
+	w := f.workers[address]
+	if w == nil {
+		return
+	}
+	w.advance()
+	for _, r := range w.runs {
+		r.start.EndedAt = time.Now()
+	}
+}
+
 // At returns the worker at an address, or nil.
 func (f *Fleet) At(address string) *Worker {
 	f.mu.Lock()
@@ -124,7 +143,14 @@
 func (f *Fleet) Starts() []Start {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return append([]Start(nil), f.starts...)
+	for _, w := range f.workers {
+		w.advance()
+	}
+	all := make([]Start, len(f.starts))
+	for i, s := range f.starts {
+		all[i] = *s
+	}
+	return all
 }
 
 // SetUnresponsive sets whether calls to the worker fail. Its runs continue.
@@ -204,14 +230,15 @@
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
 	if r := w.runs[task]; r != nil {
-		w.endRun(task, r, reason)
+		w.endRun(task, r, reason, time.Now())
 	}
 }
 
 func (w *Worker) clock() int64 { return time.Since(w.startedAt).Milliseconds() + 1 }
 
-func (w *Worker) endRun(task string, r *run, reason workers.EndReason) {
+func (w *Worker) endRun(task string, r *run, reason workers.EndReason, at time.Time) {
 	delete(w.runs, task)
+	r.start.EndedAt, r.start.EndReason = at, reason
 	w.lastSequence++
 	w.highestRun[task] = max(w.highestRun[task], r.number)
 	end := workers.RunEnd{Sequence: w.lastSequence, Task: task, Run: r.number, Reason: reason}
@@ -229,9 +256,9 @@
 	for task, r := range w.runs {
 		switch {
 		case now.After(w.leaseUntil):
-			w.endRun(task, r, workers.LeaseExpired)
+			w.endRun(task, r, workers.LeaseExpired, w.leaseUntil)
 		case !r.endsAt.IsZero() && now.After(r.endsAt):
-			w.endRun(task, r, r.work.EndReason)
+			w.endRun(task, r, r.work.EndReason, r.endsAt)
 		}
 	}
 }
@@ -292,7 +319,14 @@
 		return w.clock(), workers.ErrRequestExpired
 	}
 	w.extendLease(request.LeaseUntilMS)
-	r := &run{number: request.Run, startedAt: time.Now(), work: Work{RunTime: w.RunTime, EndReason: workers.Done}}
+	started := &Start{
+		Worker: w.ID, Task: request.Task, Run: request.Run, Fence: to.Fence, At: time.Now(),
+		Checkpoint: request.Checkpoint, Ticket: request.Ticket,
+	}
+	r := &run{
+		start: started, number: request.Run, startedAt: started.At,
+		work: Work{RunTime: w.RunTime, EndReason: workers.Done},
+	}
 	if w.WorkForSpec != nil {
 		r.work = w.WorkForSpec(request.Spec)
 	}
@@ -300,9 +334,7 @@
 		r.endsAt = time.Now().Add(r.work.RunTime)
 	}
 	w.runs[request.Task] = r
-	f.starts = append(f.starts, Start{
-		Worker: w.ID, Task: request.Task, Run: request.Run, At: time.Now(),
-		Checkpoint: request.Checkpoint, Ticket: request.Ticket})
+	f.starts = append(f.starts, started)
 	return w.clock(), nil
 }
 
@@ -335,7 +367,7 @@
 func (w *Worker) stop(task string, number int) {
 	w.highestRun[task] = max(w.highestRun[task], number)
 	if r := w.runs[task]; r != nil && r.number <= number {
-		w.endRun(task, r, workers.Stopped)
+		w.endRun(task, r, workers.Stopped, time.Now())
 	}
 }
 
