--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -36,8 +36,14 @@
 // non-idempotent job runs twice, that jobs reported as not run have not run, and that all requests with an idempotency
 // key are answered once the faults are over. SOAK_SEEDS=FIRST:COUNT runs other seeds.
 func TestSoak(t *testing.T) {
-	seeds := regressionSeeds
-	if text := os.Getenv("SOAK_SEEDS"); text != "" {
+	runSeeds(t, "SOAK_SEEDS", regressionSeeds, func(t *testing.T, seed uint64) {
+		newSoak(t, "soak", seed, soakNodes).run()
+	})
+}
+
+// runSeeds runs a soak in parallel with each of the seeds, or with those of the variable (FIRST:COUNT) if it is set.
+func runSeeds(t *testing.T, variable string, seeds []uint64, run func(t *testing.T, seed uint64)) {
+	if text := os.Getenv(variable); text != "" {
 		var first, count uint64
 		if _, err := fmt.Sscanf(text, "%d:%d", &first, &count); err != nil {
 			t.Fatal(err)
@@ -50,7 +56,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			t.Parallel()
-			newSoak(t, seed).run()
+			run(t, seed)
 		})
 	}
 }
@@ -69,14 +75,14 @@
 }
 
 type soakNode struct {
-	name, api string
-	store     *relay
-	process   *exec.Cmd
-	frozen    bool
+	name, api, client string
+	store             *relay
+	process           *exec.Cmd
+	frozen            bool
 }
 
-func newSoak(t *testing.T, seed uint64) *soak {
-	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+func newSoak(t *testing.T, name string, seed uint64, nodes int) *soak {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("%s-%d-", name, seed))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -93,15 +99,15 @@
 	s.platform = s.freeAddress()
 	s.startProcess("platform", nil, "dev", "platform", "--listen", s.platform, "--config", "config.json")
 	s.await("the platform responds", func() bool { _, _, err := s.get("http://" + s.platform + "/dev/runs"); return err == nil })
-	for i := range soakNodes {
-		n := &soakNode{name: fmt.Sprint("e", i+1), api: s.freeAddress()}
+	for i := range nodes {
+		n := &soakNode{name: fmt.Sprint("e", i+1), api: s.freeAddress(), client: s.freeAddress()}
 		n.store, err = newRelay("127.0.0.1:0", s.platform)
 		s.check(err)
 		t.Cleanup(n.store.close)
 		firstPort, err := consecutivePorts()
 		s.check(err)
 		s.check(writeNodeSettings(filepath.Join(dir, n.name), n.name, n.store.listener.Addr().String(),
-			n.api, s.freeAddress(), s.freeAddress(), firstPort))
+			n.api, n.client, s.freeAddress(), firstPort))
 		s.nodes = append(s.nodes, n)
 		s.startNode(n)
 	}
