--- a/scenarios/cancel_soak_test.go
+++ b/scenarios/cancel_soak_test.go
@@ -280,8 +280,11 @@
 		counts["jobs"]++
 		s.evaluateCancel(j, runsByJob[j.id], logs, counts)
 		s.evaluateStates(j, runsByJob[j.id], logs, counts)
-		if j.rejected() && len(runsByJob[j.id]) > 0 {
-			s.t.Errorf("job %s ran, although all attempts were rejected\n%s", j.id, s.history(j, logs))
+		if j.rejected() {
+			counts["jobs rejected"]++
+			if len(runsByJob[j.id]) > 0 {
+				s.t.Errorf("job %s ran, although all attempts were rejected\n%s", j.id, s.history(j, logs))
+			}
 		}
 		if j.failure != "" {
 			s.t.Errorf("job %s: %s\n%s", j.id, j.failure, s.history(j, logs))
