Keep cancels that came before their jobs apart from the jobs

Cause: a cancel was stored as a job that nobody sees, and each path through jobs had to know that. Change: early cancels have their own records (c/ID, by organisation), their own expiry and a bound for each organisation. A submission that one of them binds becomes an ordinary cancelled job, recorded before it is answered. Tests of parts that no test had guarded: a pause between a confirmation and its answer, a query behind a stalled append, IDs longer than a key (the in-memory store now refuses such keys), a joined submission under a successor.

--- a/internal/owner/answers_test.go
+++ b/internal/owner/answers_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/pollenford/pollenford/internal/jobs"
+	"github.com/pollenford/pollenford/internal/topic"
 	"github.com/pollenford/pollenford/internal/topic/topictest"
 	"github.com/pollenford/pollenford/internal/workload"
 )
@@ -66,6 +69,12 @@
 			if status := h.status(o, "a"); status.State != workload.Cancelled {
 				t.Errorf("the job is %v after its submission, want cancelled", status.State)
 			}
+			if restart {
+				o = h.startOwner(true)
+				if status := h.status(o, "a"); status.State != workload.Cancelled {
+					t.Errorf("the job is %v under a successor, want cancelled", status.State)
+				}
+			}
 			// A job that is accepted later and runs shows that this one was not merely late.
 			h.submit(o, newJob("b", 1))
 			h.await("the other job runs", func() bool { return len(h.startsOf("b.0.0.0")) == 1 })
@@ -76,43 +85,169 @@
 	}
 }
 
-// A cancel of an unknown job binds only its own organisation: the ID of another one's job can be guessed.
-func TestCancelOfUnknownJobBindsOnlyItsOrganisation(t *testing.T) {
-	h := newHarness(t)
-	h.addWorker("w1", 20*time.Millisecond)
-	o := h.startOwner(true)
-	if err := o.Cancel(t.Context(), "a", "other"); !errors.Is(err, jobs.ErrNoSuchJob) {
-		t.Fatalf("cancel of an unknown job: %v", err)
+// A cancel that comes before its job binds the submission if its organisation could cancel the job afterwards, and only then:
+// the ID of another one's job can be guessed.
+func TestCancelBindsOnlyJobsOfItsOrganisation(t *testing.T) {
+	for name, c := range map[string]struct {
+		cancelledBy []string
+		submittedBy string
+		state       workload.State
+	}{
+		"its own":                  {[]string{"org"}, "org", workload.Cancelled},
+		"another one's":            {[]string{"other"}, "org", workload.Completed},
+		"its own, also another":    {[]string{"other", "org"}, "org", workload.Cancelled},
+		"anonymous":                {[]string{"org"}, "", workload.Cancelled},
+		"anonymous, without a key": {[]string{""}, "", workload.Cancelled},
+		"without a key":            {[]string{""}, "org", workload.Completed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			h.addWorker("w1", 20*time.Millisecond)
+			o := h.startOwner(true)
+			for _, organisation := range c.cancelledBy {
+				if err := o.Cancel(t.Context(), "a", organisation); !errors.Is(err, jobs.ErrNoSuchJob) {
+					t.Fatalf("cancel of an unknown job: %v", err)
+				}
+			}
+			j := newJob("a", 1)
+			j.Organisation = c.submittedBy
+			h.submit(o, j)
+			h.awaitState(o, "a", c.state)
+		})
 	}
-	h.submit(o, newJob("a", 1))
-	h.awaitState(o, "a", workload.Completed)
 }
 
-// Cancels of unknown jobs are bounded, and forgotten with the status of ended jobs.
-func TestCancelsOfUnknownJobsAreBounded(t *testing.T) {
+// Early cancels are bounded for each organisation and kept as long as the status of an ended job, from the latest one on.
+func TestEarlyCancelsAreBounded(t *testing.T) {
 	h := newHarness(t)
 	o := h.startOwner(true)
-	inLoop := func(do func()) {
-		done := make(chan bool)
-		o.post(func() { do(); close(done) })
-		<-done
-	}
-	if err := o.Cancel(t.Context(), "a", "org"); !errors.Is(err, jobs.ErrNoSuchJob) {
-		t.Fatalf("cancel of an unknown job: %v", err)
+	for _, organisation := range []string{"org", "other"} {
+		if err := o.Cancel(t.Context(), "a", organisation); !errors.Is(err, jobs.ErrNoSuchJob) {
+			t.Fatalf("cancel of an unknown job: %v", err)
+		}
 	}
-	inLoop(func() { o.unsubmitted += maxUnsubmitted - 1 })
+	h.inLoop(o, func() { o.earlyCancels.byOrganisation["org"] += maxEarlyCancels })
 	var rejection *jobs.Rejection
 	if err := o.Cancel(t.Context(), "b", "org"); !errors.As(err, &rejection) || !rejection.Overloaded {
 		t.Errorf("%v, want a rejection for overload", err)
 	}
-	inLoop(func() {
-		o.expireJobs(time.Now().Add(o.cfg.Timing.StatusRetention + 2*statusRetentionMargin))
-		if want := maxUnsubmitted - 1; o.unsubmitted != want || len(o.jobs) != 0 {
-			t.Errorf("%d cancels counted and %d jobs kept, want %d and 0", o.unsubmitted, len(o.jobs), want)
+	if err := o.Cancel(t.Context(), "b", "other"); !errors.Is(err, jobs.ErrNoSuchJob) {
+		t.Errorf("cancel of an organisation with few of them: %v", err)
+	}
+	o = h.startOwner(true)
+	h.inLoop(o, func() {
+		e := &o.earlyCancels
+		if e.byOrganisation["org"] != 1 || e.byOrganisation["other"] != 2 {
+			t.Errorf("a successor counts %v", e.byOrganisation)
+		}
+		now := time.Now()
+		e.add("a", "org", now.Add(time.Second).UnixMilli())
+		o.expireEarlyCancels(now.Add(o.statusRetention() + 500*time.Millisecond))
+		if len(e.byJob) != 1 || len(e.queue) != 1 || e.byOrganisation["org"] != 1 || e.byOrganisation["other"] != 1 {
+			t.Errorf("%v kept of %v, want the job that was cancelled again", e.byJob, e.byOrganisation)
+		}
+		o.expireEarlyCancels(now.Add(o.statusRetention() + 2*time.Second))
+		if len(e.byJob)+len(e.queue)+len(e.byOrganisation) != 0 {
+			t.Errorf("%v kept, want none", e.byJob)
 		}
 	})
 }
 
+// An ID that no key of the store can hold is denied, and stops nothing.
+func TestCancelOfAnIDTooLongForTheStore(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1", 10*time.Millisecond)
+	o := h.startOwner(true)
+	long := strings.Repeat("5", workload.MaxIDBytes+1)
+	for name, call := range jobCalls {
+		if err := call(t.Context(), o, long); !errors.Is(err, jobs.ErrNoSuchJob) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if err := o.Cancel(t.Context(), long[1:], "org"); !errors.Is(err, jobs.ErrNoSuchJob) {
+		t.Errorf("cancel with the longest ID: %v", err)
+	}
+	h.submit(o, newJob("a", 1))
+	h.awaitState(o, "a", workload.Completed)
+}
+
+// lateAnswers counts appends and, while it is on, holds their answers back after they were applied.
+type lateAnswers struct {
+	topic.Store
+	appends atomic.Int64
+	on      atomic.Bool
+	release chan struct{}
+}
+
+// Append implements topic.Store.
+func (s *lateAnswers) Append(ctx context.Context, name topic.Name, batch topic.Batch) (offset, end int64, err error) {
+	s.appends.Add(1)
+	offset, end, err = s.Store.Append(ctx, name, batch)
+	if s.on.Load() {
+		<-s.release
+	}
+	return offset, end, err
+}
+
+// A denial that was confirmed before a pause is confirmed again after it: a successor may have accepted the job meanwhile.
+func TestConfirmationBeforeAPauseIsRepeated(t *testing.T) {
+	h := newHarness(t)
+	store := &lateAnswers{Store: h.store, release: make(chan struct{})}
+	h.ownerStore = store
+	o := h.startOwner(true)
+	store.on.Store(true)
+	before := store.appends.Load()
+	answered := make(chan error, 1)
+	go func() {
+		_, err := o.Status(t.Context(), "a", "org")
+		answered <- err
+	}()
+	h.await("the term is confirmed", func() bool { return store.appends.Load() > before })
+	paused, resume := make(chan bool), make(chan bool)
+	o.post(func() { close(paused); <-resume })
+	<-paused
+	store.on.Store(false)
+	time.Sleep(2 * pauseLimit) // the length of the pause is under test
+	h.submit(h.startOwner(true), newJob("a", 1))
+	close(resume)
+	ticked := make(chan bool)
+	time.AfterFunc(2*tickInterval, func() { close(ticked) })
+	<-ticked
+	close(store.release)
+	if err := <-answered; err == nil || errors.Is(err, jobs.ErrNoSuchJob) {
+		t.Errorf("the paused owner answered: %v", err)
+	}
+}
+
+// A query of an unknown job behind a store that does not answer is rejected soon, not held until its caller's deadline.
+func TestDenialBehindAStalledAppendIsRejected(t *testing.T) {
+	h := newHarness(t)
+	silent := &topictest.SilentAppends{Store: h.store}
+	h.ownerStore = silent
+	o := h.startOwner(true)
+	silent.On.Store(true)
+	answered := make(chan error, 2)
+	query := func() {
+		_, err := o.Status(t.Context(), "a", "org")
+		answered <- err
+	}
+	go query()
+	h.await("an append is in flight", func() bool { return silent.Unanswered.Load() > 0 })
+	go query()
+	for range 2 {
+		select {
+		case err := <-answered:
+			var rejection *jobs.Rejection
+			if !errors.As(err, &rejection) || rejection.Permanent || rejection.RetryAfter == 0 {
+				t.Errorf("%v, want a rejection with a time to return", err)
+			}
+		case <-time.After(awaitTimeout):
+			t.Fatal("the query is held")
+		}
+	}
+}
+
 // Guards against answers from a term that was over: after a pause, in which a successor may have taken over, an owner
 // answers nothing from memory until the store has confirmed its term.
 func TestPausedOwnerAnswersNothingUnconfirmed(t *testing.T) {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -60,7 +60,8 @@
 // flush starts an append of the pending decisions unless one is in flight. An append without records confirms the term.
 func (o *Owner) flush() {
 	c := &o.commit
-	if c.inFlight || len(c.dirtyJobs)+len(c.records)+len(c.effects)+len(c.held) == 0 {
+	decisions := len(c.dirtyJobs) + len(c.records) + len(c.effects)
+	if c.inFlight || decisions+len(c.held) == 0 {
 		return
 	}
 	records, dirtyJobs, effects := c.records, c.dirtyJobs, c.effects
--- a/internal/owner/confirm.go
+++ b/internal/owner/confirm.go
@@ -13,9 +13,8 @@
 
 // heldCall is a call that waits until an append confirms the term.
 type heldCall struct {
-	r        reply
-	run      func()
-	rejected bool
+	r   reply
+	run func()
 }
 
 // hold runs a call once the store has shown that no successor had fenced this owner when hold was called. A successor
@@ -38,9 +37,7 @@
 		return
 	}
 	for _, call := range held {
-		if !call.rejected {
-			call.run()
-		}
+		call.run()
 	}
 }
 
@@ -48,7 +45,6 @@
 func (o *Owner) rejectHeld() {
 	c := &o.commit
 	for _, call := range append(c.held, c.heldInFlight...) {
-		call.rejected = true
 		call.r.send(o.storeStalled())
 	}
 	c.held, c.heldInFlight = nil, nil
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -116,6 +116,13 @@
 
 // startOwner starts the next owner. predecessorEnded states that the previous owner is known to have stopped.
 func (h *harness) startOwner(predecessorEnded bool) *runningOwner {
+	r := h.newOwner(predecessorEnded)
+	r.start()
+	return r
+}
+
+// newOwner returns the next owner, which has recovered but processes no events yet.
+func (h *harness) newOwner(predecessorEnded bool) *runningOwner {
 	h.fence++
 	ctx, cancel := context.WithCancel(context.Background())
 	log := hclog.New(&hclog.LoggerOptions{Output: testWriter{h.t}, Level: hclog.Debug})
@@ -143,11 +150,25 @@
 		}
 	}
 	go renew()
-	go func() { r.done <- r.Run() }()
 	h.t.Cleanup(r.stop)
 	return r
 }
 
+// start begins to process events.
+func (r *runningOwner) start() {
+	go func() { r.done <- r.Run() }()
+}
+
+// inLoop runs a function in the event loop of an owner.
+func (h *harness) inLoop(o *runningOwner, do func()) {
+	h.t.Helper()
+	done := make(chan bool)
+	if !o.post(func() { do(); close(done) }) {
+		h.t.Fatal("the owner has stopped")
+	}
+	<-done
+}
+
 // pauseRenewals keeps the owner from renewing its record, as if its process were suspended.
 func (r *runningOwner) pauseRenewals() { r.noRenewals.Store(true) }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -101,7 +101,7 @@
 	jobs             map[string]*job
 	active           map[string]*job // jobs that have not ended
 	ended            []endedJob      // ordered by end time
-	unsubmitted      int             // jobs that were cancelled before they were submitted
+	earlyCancels     earlyCancels
 	workers          map[string]*worker
 	workerIndex      workerIndex
 	usage            map[string]catalog.Resources // resources of all runs that may be active, by organisation
@@ -166,6 +166,7 @@
 	}
 	o.ctx, o.cancel = context.WithCancelCause(ctx)
 	o.fleet.init()
+	o.earlyCancels.init()
 	o.fleet.callBudget.PerSecond = cfg.Timing.ControlRate * newOrderShare
 	return o
 }
@@ -249,11 +250,14 @@
 			err = o.loadLoss(id, r)
 		case moveKeyPrefix:
 			err = o.loadMove(id, r)
+		case earlyCancelKeyPrefix:
+			err = o.earlyCancels.load(id, r)
 		}
 		if err != nil {
 			o.log.Error("unreadable record skipped", "key", r.Key, "offset", r.Offset, "err", err)
 		}
 	}
+	o.earlyCancels.sort()
 	for id, j := range o.jobs {
 		o.adoptJob(id, j)
 	}
@@ -288,9 +292,6 @@
 			return
 		}
 		j.specDeleted = true
-		if j.progress.Unsubmitted {
-			o.unsubmitted++
-		}
 		o.ended = append(o.ended, endedJob{id, j.progress.EndedMS})
 		return
 	}
@@ -411,6 +412,7 @@
 		}
 	}
 	o.expireJobs(now)
+	o.expireEarlyCancels(now)
 	o.forgetTickets()
 	o.updateGauges()
 	o.tickFleet(now)
@@ -424,7 +426,7 @@
 // expireJobs deletes ended jobs whose status retention has passed.
 func (o *Owner) expireJobs(now time.Time) {
 	for len(o.ended) > 0 && now.UnixMilli()-o.ended[0].endedMS >
-		o.cfg.Timing.StatusRetention.Milliseconds()+statusRetentionMargin.Milliseconds() {
+		o.statusRetention().Milliseconds() {
 		id := o.ended[0].id
 		j := o.jobs[id]
 		if j != nil && len(j.progress.Current) > 0 {
@@ -432,7 +434,6 @@
 		}
 		o.ended = o.ended[1:]
 		if j != nil {
-			o.forgetUnsubmitted(j)
 			delete(o.jobs, id)
 			o.queueRecord(topic.Record{Key: progressKeyPrefix + id})
 			o.queueRecord(topic.Record{Key: jobKeyPrefix + id})
@@ -451,6 +452,11 @@
 	o.metrics.active.Update(float64(len(o.active)))
 }
 
+// statusRetention returns how long ended jobs, and cancels that came before their jobs, are kept.
+func (o *Owner) statusRetention() time.Duration {
+	return o.cfg.Timing.StatusRetention + statusRetentionMargin
+}
+
 // statusRetentionMargin extends the retention of ended jobs, because clocks may jump.
 const statusRetentionMargin = 30 * time.Second
 
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -62,7 +62,7 @@
 		return &jobs.Rejection{Reason: err.Error(), Permanent: true}
 	}
 	return o.runInLoop(ctx, func(r reply) {
-		if j := o.jobs[spec.ID]; j != nil && o.joinSubmission(j, spec) {
+		if j := o.jobs[spec.ID]; j != nil {
 			o.acknowledge(j, r)
 			return
 		}
@@ -71,14 +71,21 @@
 			r.send(o.storeStalled())
 			return
 		}
+		if o.earlyCancels.bind(spec) {
+			o.log.Info("job submitted after its cancel", "job", spec.ID)
+			j := o.newJob(spec)
+			j.progress.Cancel()
+			o.endJob(j)
+			o.acknowledge(j, r)
+			return
+		}
 		if rejection := o.admit(spec); rejection != nil {
 			o.metrics.rejected.Inc(1)
 			o.log.Info("job rejected", "job", spec.ID, "reason", rejection.Reason, "retry_after", rejection.RetryAfter)
 			r.send(rejection)
 			return
 		}
-		j := &job{spec: spec, progress: workload.NewProgress(spec), neverRecorded: true}
-		o.jobs[spec.ID] = j
+		j := o.newJob(spec)
 		o.active[spec.ID] = j
 		o.computePlan(j)
 		if spec.IsScheduled() {
@@ -96,6 +103,13 @@
 	})
 }
 
+// newJob adds a job that is not recorded yet.
+func (o *Owner) newJob(spec *workload.Job) *job {
+	j := &job{spec: spec, progress: workload.NewProgress(spec), neverRecorded: true}
+	o.jobs[spec.ID] = j
+	return j
+}
+
 // acknowledge answers a submission once its job is recorded. A job that is withdrawn before rejects it instead.
 func (o *Owner) acknowledge(j *job, r reply) {
 	if j.neverRecorded {
@@ -170,12 +184,15 @@
 // jobOf returns a job that the organisation may see, or nil.
 func (o *Owner) jobOf(id, organisation string) *job {
 	j := o.jobs[id]
-	if j == nil || j.progress.Unsubmitted || j.progress.Organisation != "" && j.progress.Organisation != organisation {
+	if j == nil || !mayAccess(j.progress.Organisation, organisation) {
 		return nil
 	}
 	return j
 }
 
+// mayAccess reports whether an organisation may see and cancel a job of the given owner: any may if it is anonymous.
+func mayAccess(owner, organisation string) bool { return owner == "" || owner == organisation }
+
 // Status implements jobs.Service. It returns the last recorded status; unrecorded changes are not visible.
 func (o *Owner) Status(ctx context.Context, id, organisation string) (jobs.Status, error) {
 	var status jobs.Status
@@ -206,7 +223,7 @@
 	return o.runInLoop(ctx, func(r reply) {
 		j := o.jobOf(id, organisation)
 		if j == nil {
-			o.cancelUnsubmitted(id, organisation, r)
+			o.cancelEarly(id, organisation, r)
 			return
 		}
 		if j.progress.Cancel() {
--- a/internal/topic/topictest/store.go
+++ b/internal/topic/topictest/store.go
@@ -19,6 +19,9 @@
 // specifies.
 const repeatableAppends = 5
 
+// maxKeyBytes is the length of the longest key, as the platform specifies.
+const maxKeyBytes = 255
+
 // Store is an in-memory log store. The zero value is ready for use.
 type Store struct {
 	mu     sync.Mutex
@@ -129,6 +132,11 @@
 	if err := s.beginCall(ctx); err != nil {
 		return 0, 0, err
 	}
+	for _, r := range batch.Records {
+		if len(r.Key) > maxKeyBytes {
+			return 0, 0, errors.NotValidf("record key of %d bytes", len(r.Key))
+		}
+	}
 	offset, end, err := s.partition(name).apply(batch)
 	if err == nil && s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -94,8 +94,6 @@
 	Answer string `cbor:"9,keyasint,omitempty"`
 	// Interrupted reports whether the job failed because an at-most-once run may have been interrupted.
 	Interrupted bool `cbor:"10,keyasint,omitempty"`
-	// Unsubmitted reports that the job was cancelled before it was submitted. Nobody sees it until it is.
-	Unsubmitted bool `cbor:"11,keyasint,omitempty"`
 }
 
 // NewProgress returns the initial progress of an accepted job.
@@ -103,16 +101,6 @@
 	return &Progress{Organisation: j.Organisation, Queue: j.Queue, Fingerprint: j.Fingerprint}
 }
 
-// NewUnsubmitted returns the progress of a job that an organisation cancels at nowMS before it has been submitted.
-func NewUnsubmitted(organisation string, nowMS int64) *Progress {
-	return &Progress{State: Cancelled, EndedMS: nowMS, Organisation: organisation, Unsubmitted: true}
-}
-
-// Submit records the submission of a job that was cancelled before.
-func (p *Progress) Submit(j *Job) {
-	p.Unsubmitted, p.Queue, p.Fingerprint = false, j.Queue, j.Fingerprint
-}
-
 // RebuildIndex restores derived fields after decoding.
 func (p *Progress) RebuildIndex() {
 	for _, o := range p.Current {
