Confirm the term before a withdrawn job is denied

A query that waited for a new job's record was answered with 'no such job' when the job was withdrawn, without an append since: a replaced owner denied a job that its successor had accepted. Change: that denial is held like any other. Measured: TestWithdrawnJobIsDeniedOnlyWhenConfirmed fails without the change and passes.

--- a/internal/owner/answers_test.go
+++ b/internal/owner/answers_test.go
@@ -248,6 +248,39 @@
 	}
 }
 
+// A job that was withdrawn is denied like any other unknown one: its client may have submitted it to a successor.
+func TestWithdrawnJobIsDeniedOnlyWhenConfirmed(t *testing.T) {
+	h := newHarness(t)
+	store := &lateAnswers{Store: h.store, release: make(chan struct{})}
+	h.ownerStore = store
+	o := h.startOwner(true)
+	store.on.Store(true)
+	before := store.appends.Load()
+	go func() { _ = o.Submit(t.Context(), newJob("first", 1)) }() // its outcome is not under test
+	h.await("an append is in flight", func() bool { return store.appends.Load() > before })
+	rejected, answered := make(chan error, 1), make(chan error, 1)
+	go func() { rejected <- o.Submit(t.Context(), newJob("a", 1)) }()
+	h.await("the job waits for an append", func() (waits bool) {
+		h.inLoop(o, func() { waits = o.jobs["a"] != nil })
+		return waits
+	})
+	go func() {
+		_, err := o.Status(t.Context(), "a", "org")
+		answered <- err
+	}()
+	h.await("the query waits for the job", func() (waits bool) {
+		h.inLoop(o, func() { waits = len(o.commit.effects) > 1 })
+		return waits
+	})
+	<-rejected
+	store.on.Store(false)
+	h.submit(h.startOwner(true), newJob("a", 1))
+	close(store.release)
+	if err := <-answered; err == nil || errors.Is(err, jobs.ErrNoSuchJob) {
+		t.Errorf("the replaced owner answered: %v", err)
+	}
+}
+
 // Guards against answers from a term that was over: after a pause, in which a successor may have taken over, an owner
 // answers nothing from memory until the store has confirmed its term.
 func TestPausedOwnerAnswersNothingUnconfirmed(t *testing.T) {
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -198,8 +198,8 @@
 	var status jobs.Status
 	err := o.runForJob(ctx, "status", id, organisation, func(j *job, r reply) {
 		respond := func() {
-			if o.jobs[id] != j {
-				r.send(jobs.ErrNoSuchJob) // it was withdrawn meanwhile
+			if o.jobs[id] != j { // it was withdrawn meanwhile
+				o.hold(r, func() { o.denyJob("status", id, r) })
 				return
 			}
 			status = j.recordedStatus
