Notice a pause before the first turn of the event loop

A freeze during the recovery, or between it and the first turn, was not counted: a replaced owner answered pending = 0. Change: the check begins with the recovery. Measured: TestPauseBeforeTheFirstTurnIsNoticed fails without the change and passes.

--- a/internal/owner/answers_test.go
+++ b/internal/owner/answers_test.go
@@ -281,6 +281,19 @@
 	}
 }
 
+// A pause during the recovery, or before the first turn of the event loop, leaves the term unconfirmed as well.
+func TestPauseBeforeTheFirstTurnIsNoticed(t *testing.T) {
+	h := newHarness(t)
+	o := h.newOwner(true)
+	time.Sleep(2 * pauseLimit) // the length of the pause is under test
+	successor := h.startOwner(true)
+	h.submit(successor, newJob("a", 1))
+	o.start()
+	if n, err := o.Pending(t.Context(), "queue"); err == nil {
+		t.Errorf("the paused owner answered: %d pending", n)
+	}
+}
+
 // Guards against answers from a term that was over: after a pause, in which a successor may have taken over, an owner
 // answers nothing from memory until the store has confirmed its term.
 func TestPausedOwnerAnswersNothingUnconfirmed(t *testing.T) {
--- a/internal/owner/confirm.go
+++ b/internal/owner/confirm.go
@@ -57,7 +57,7 @@
 // noticePause checks whether the event loop has stood still since the last check, including suspension of the instance.
 func (o *Owner) noticePause() {
 	now := leader.BootTime()
-	if pause := now - o.lastTurn; o.lastTurn != 0 && pause > pauseLimit {
+	if pause := now - o.lastTurn; pause > pauseLimit {
 		o.pauses++
 		o.commit.appendStarted = o.commit.appendStarted.Add(pause)
 		o.log.Info("event loop stood still: the term is to be confirmed", "ms", pause.Milliseconds())
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -106,7 +106,7 @@
 	workerIndex      workerIndex
 	usage            map[string]catalog.Resources // resources of all runs that may be active, by organisation
 	recoveredAt      time.Time
-	lastTurn         time.Duration // boot-time clock of the last check for a pause; 0 before the first
+	lastTurn         time.Duration // boot-time clock of the last check for a pause, first of the recovery
 	pauses           int           // of the event loop
 	commit           committer
 	rounds           roundBuffers
@@ -174,6 +174,7 @@
 // Recover fences earlier owners and loads the state that they recorded.
 func (o *Owner) Recover() error {
 	began := time.Now()
+	o.lastTurn = leader.BootTime()
 	if err := o.fence(); err != nil {
 		return err
 	}
