Space the appends that only confirm a term

Change: appends without records are at least a tick (50 ms) apart; denials share them. The first one is sent at once, and appends with records confirm as well. Measured: TestDenialsShareConfirmations fails without the spacing and passes.

--- a/internal/owner/answers_test.go
+++ b/internal/owner/answers_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -172,6 +174,37 @@
 	h.awaitState(o, "a", workload.Completed)
 }
 
+// Denials share the appends that confirm the term, and an owner that is not asked appends nothing.
+func TestDenialsShareConfirmations(t *testing.T) {
+	h := newHarness(t)
+	store := &lateAnswers{Store: h.store}
+	h.ownerStore = store
+	o := h.startOwner(true)
+	before := store.appends.Load()
+	began := time.Now()
+	var calls sync.WaitGroup
+	for i := range 10 {
+		calls.Go(func() {
+			for range 10 {
+				if _, err := o.Status(t.Context(), fmt.Sprint("unknown-", i), "org"); !errors.Is(err, jobs.ErrNoSuchJob) {
+					t.Errorf("status of an unknown job: %v", err)
+				}
+			}
+		})
+	}
+	calls.Wait()
+	if n, most := store.appends.Load()-before, 2+int64(time.Since(began)/confirmInterval); n > most {
+		t.Errorf("%d appends for 100 denials, want at most %d", n, most)
+	}
+	h.submit(o, newJob("a", 1))
+	before = store.appends.Load()
+	time.Sleep(2 * pauseLimit) // longer than a pause: ticks show that there was none
+	h.status(o, "a")
+	if n := store.appends.Load() - before; n != 0 {
+		t.Errorf("%d appends for the status of a known job", n)
+	}
+}
+
 // lateAnswers counts appends and, while it is on, holds their answers back after they were applied.
 type lateAnswers struct {
 	topic.Store
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -21,6 +21,7 @@
 	inFlight  bool
 	// held are calls that wait for the next append, heldInFlight those of the append in flight (see confirm.go).
 	held, heldInFlight []*heldCall
+	lastConfirmation   time.Time // when the last append without records began
 	// confirmedPauses is the number of pauses after which an append was sent that succeeded.
 	confirmedPauses int
 	// sequence numbers the appends of a term. Only the goroutine of the append in flight changes it.
@@ -64,6 +65,9 @@
 	if c.inFlight || decisions+len(c.held) == 0 {
 		return
 	}
+	if decisions == 0 && time.Since(c.lastConfirmation) < confirmInterval {
+		return // a tick comes soon
+	}
 	records, dirtyJobs, effects := c.records, c.dirtyJobs, c.effects
 	c.records, c.dirtyJobs, c.effects = nil, nil, nil
 	statuses := make([]jobs.Status, len(dirtyJobs))
@@ -76,6 +80,9 @@
 		runAll(effects)
 		return
 	}
+	if len(records) == 0 {
+		c.lastConfirmation = time.Now()
+	}
 	c.held, c.heldInFlight = nil, c.held
 	pauses := o.pauses
 	c.inFlight, c.stallReported = true, false
--- a/internal/owner/confirm.go
+++ b/internal/owner/confirm.go
@@ -11,6 +11,9 @@
 // replaced.
 const pauseLimit = 300 * time.Millisecond
 
+// confirmInterval is the time between appends that only confirm the term. They delay those of decisions.
+const confirmInterval = tickInterval
+
 // heldCall is a call that waits until an append confirms the term.
 type heldCall struct {
 	r   reply
