Accept IDs as long as a key of the store holds

The limit of 200 bytes also applied to recorded jobs: one with an ID of 201 to 253 bytes, accepted by an earlier build, would have been skipped after an upgrade. Change: the limit is 253, what a key holds beside its prefix, so that no recorded job is beyond it.

--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -104,8 +104,8 @@
 	maxDueMS = 1 << 61
 	// MaxSpecBytes bounds the specification of a job, as published for clients.
 	MaxSpecBytes = 4000
-	// MaxIDBytes bounds the ID of a job, which is part of its keys in the store; those have at most 255 bytes.
-	MaxIDBytes = 200
+	// MaxIDBytes bounds the ID of a job. A key of the store has at most 255 bytes: a prefix of two and the ID.
+	MaxIDBytes = 253
 )
 
 // Validate returns a NotValid error that names the first invalid property of the job, or nil.
