Do not take a slow recovery for a pause, and let a slow store answer held calls

Seen: owner.TestSlowStoreGetsEachAppendOnce failed in a run of the package (and fails whenever the store takes 440 ms): 'event loop stood still', ms 441, then 'submitting a: rejected: the store does not answer'. Cause: the check for a pause began with the recovery, so that one in a slow store counted as a pause; and a held call was rejected after 0.4 s although the append that confirms the term was about to be answered. Change: the check begins when the records were read (a pause during a call to the store makes the call fail, and it is repeated). Held calls of the append in flight are rejected only after the time limit of a store call, those behind it at once as before.

--- a/internal/owner/confirm.go
+++ b/internal/owner/confirm.go
@@ -44,13 +44,19 @@
 	}
 }
 
-// rejectHeld rejects the held calls behind an append that the store does not answer. None of them has been carried out.
+// rejectHeld rejects the held calls behind a stalled append, and those of the append itself once a slow store would have
+// answered it. None of them has been carried out.
 func (o *Owner) rejectHeld() {
 	c := &o.commit
-	for _, call := range append(c.held, c.heldInFlight...) {
+	rejected := c.held
+	c.held = nil
+	if o.appendAge() > storeTimeout {
+		rejected = append(rejected, c.heldInFlight...)
+		c.heldInFlight = nil
+	}
+	for _, call := range rejected {
 		call.r.send(o.storeStalled())
 	}
-	c.held, c.heldInFlight = nil, nil
 }
 
 // unconfirmed reports whether the event loop has stood still and no append has confirmed the term since. Another owner may
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -106,7 +106,7 @@
 	workerIndex      workerIndex
 	usage            map[string]catalog.Resources // resources of all runs that may be active, by organisation
 	recoveredAt      time.Time
-	lastTurn         time.Duration // boot-time clock of the last check for a pause, first of the recovery
+	lastTurn         time.Duration // boot-time clock of the last check for a pause, first when the records were read
 	pauses           int           // of the event loop
 	commit           committer
 	rounds           roundBuffers
@@ -174,7 +174,6 @@
 // Recover fences earlier owners and loads the state that they recorded.
 func (o *Owner) Recover() error {
 	began := time.Now()
-	o.lastTurn = leader.BootTime()
 	if err := o.fence(); err != nil {
 		return err
 	}
@@ -187,6 +186,7 @@
 		return err
 	}
 	o.recoveredAt = time.Now()
+	o.lastTurn = leader.BootTime() // a pause during a call to the store ends the call
 	o.loadRecords(records)
 	o.metrics.recovery.RecordDuration(time.Since(began))
 	o.log.Info("owner recovered", "records", len(records), "active_jobs", len(o.active),
