--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -19,9 +19,15 @@
 	records   []topic.Record
 	effects   []func()
 	inFlight  bool
+	// held are calls that wait for the next append, heldInFlight those of the append in flight (see confirm.go).
+	held, heldInFlight []*heldCall
+	lastConfirmation   time.Time // when the last append without records began
+	// confirmedPauses is the number of pauses after which an append was sent that succeeded.
+	confirmedPauses int
 	// sequence numbers the appends of a term. Only the goroutine of the append in flight changes it.
 	sequence int64
-	// appendStarted is the start time of the append in flight; stallReported that it was found to have stalled.
+	// appendStarted is the start time of the append in flight, later by the pauses of the event loop since; stallReported that
+	// it was found to have stalled.
 	appendStarted time.Time
 	stallReported bool
 }
@@ -41,7 +47,7 @@
 // afterCommit runs an effect once all decisions made so far are recorded.
 func (o *Owner) afterCommit(effect func()) { o.commit.effects = append(o.commit.effects, effect) }
 
-// appendAge returns how long the append in flight has taken so far; 0 without one.
+// appendAge returns how long the append in flight has taken so far, without pauses of the event loop; 0 without one.
 func (o *Owner) appendAge() time.Duration {
 	if !o.commit.inFlight {
 		return 0
@@ -52,12 +58,16 @@
 // appendStalled reports whether the append in flight has taken so long that nothing new should wait for it.
 func (o *Owner) appendStalled() bool { return o.appendAge() > storeStallLimit }
 
-// flush starts an append of the pending decisions unless one is in flight.
+// flush starts an append of the pending decisions unless one is in flight. An append without records confirms the term.
 func (o *Owner) flush() {
 	c := &o.commit
-	if c.inFlight || len(c.dirtyJobs)+len(c.records)+len(c.effects) == 0 {
+	decisions := len(c.dirtyJobs) + len(c.records) + len(c.effects)
+	if c.inFlight || decisions+len(c.held) == 0 {
 		return
 	}
+	if decisions == 0 && time.Since(c.lastConfirmation) < confirmInterval {
+		return // a tick comes soon
+	}
 	records, dirtyJobs, effects := c.records, c.dirtyJobs, c.effects
 	c.records, c.dirtyJobs, c.effects = nil, nil, nil
 	statuses := make([]jobs.Status, len(dirtyJobs))
@@ -66,18 +76,24 @@
 		records = o.appendJob(records, j)
 		statuses[i] = j.status()
 	}
-	if len(records) == 0 {
+	if len(records)+len(c.held) == 0 {
 		runAll(effects)
 		return
 	}
+	if len(records) == 0 {
+		c.lastConfirmation = time.Now()
+	}
+	c.held, c.heldInFlight = nil, c.held
+	pauses := o.pauses
 	c.inFlight, c.stallReported = true, false
-	c.appendStarted = time.Now()
+	started := time.Now()
+	c.appendStarted = started
 	go func() {
 		if err := o.append(records); err != nil {
 			o.cancel(err)
 			return
 		}
-		o.metrics.appendLatency.RecordDuration(time.Since(c.appendStarted))
+		o.metrics.appendLatency.RecordDuration(time.Since(started))
 		o.post(func() {
 			c.inFlight = false
 			for i, j := range dirtyJobs {
@@ -87,6 +103,7 @@
 				j.notifyWaiters()
 			}
 			runAll(effects)
+			o.releaseHeld(pauses)
 		})
 	}()
 }
@@ -122,8 +139,12 @@
 	return data
 }
 
-// append writes records to the store, split into batches of at most MaxAppendBytes.
+// append writes records to the store, split into batches of at most MaxAppendBytes. Without records it only confirms that
+// no successor has fenced this owner.
 func (o *Owner) append(records []topic.Record) error {
+	if len(records) == 0 {
+		return o.appendBatch(topic.Batch{Producer: o.producer()})
+	}
 	for len(records) > 0 {
 		n, size := 0, 0
 		for n < len(records) && (n == 0 || size+recordSize(records[n]) <= o.cfg.MaxAppendBytes) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -101,10 +101,13 @@
 	jobs             map[string]*job
 	active           map[string]*job // jobs that have not ended
 	ended            []endedJob      // ordered by end time
+	earlyCancels     earlyCancels
 	workers          map[string]*worker
 	workerIndex      workerIndex
 	usage            map[string]catalog.Resources // resources of all runs that may be active, by organisation
 	recoveredAt      time.Time
+	lastTurn         time.Duration // boot-time clock of the last check for a pause, first when the records were read
+	pauses           int           // of the event loop
 	commit           committer
 	rounds           roundBuffers
 	replan           bool // a change may allow further placements
@@ -163,6 +166,7 @@
 	}
 	o.ctx, o.cancel = context.WithCancelCause(ctx)
 	o.fleet.init()
+	o.earlyCancels.init()
 	o.fleet.callBudget.PerSecond = cfg.Timing.ControlRate * newOrderShare
 	return o
 }
@@ -182,6 +186,7 @@
 		return err
 	}
 	o.recoveredAt = time.Now()
+	o.lastTurn = leader.BootTime() // a pause during a call to the store ends the call
 	o.loadRecords(records)
 	o.metrics.recovery.RecordDuration(time.Since(began))
 	o.log.Info("owner recovered", "records", len(records), "active_jobs", len(o.active),
@@ -246,11 +251,14 @@
 			err = o.loadLoss(id, r)
 		case moveKeyPrefix:
 			err = o.loadMove(id, r)
+		case earlyCancelKeyPrefix:
+			err = o.earlyCancels.load(id, r)
 		}
 		if err != nil {
 			o.log.Error("unreadable record skipped", "key", r.Key, "offset", r.Offset, "err", err)
 		}
 	}
+	o.earlyCancels.sort()
 	for id, j := range o.jobs {
 		o.adoptJob(id, j)
 	}
@@ -380,6 +388,7 @@
 func (o *Owner) leading() bool { return o.term.Age() < maxRenewalAge }
 
 func (o *Owner) tick() {
+	o.noticePause()
 	now := time.Now()
 	for _, w := range o.workers {
 		o.checkWorkerTimeouts(w, now)
@@ -396,6 +405,7 @@
 	}
 	if o.appendStalled() {
 		o.withdrawUnsent()
+		o.rejectHeld()
 		if !o.commit.stallReported {
 			o.commit.stallReported = true
 			o.log.Warn("append stalled", "ms", o.appendAge().Milliseconds())
@@ -403,6 +413,7 @@
 		}
 	}
 	o.expireJobs(now)
+	o.expireEarlyCancels(now)
 	o.forgetTickets()
 	o.updateGauges()
 	o.tickFleet(now)
@@ -416,7 +427,7 @@
 // expireJobs deletes ended jobs whose status retention has passed.
 func (o *Owner) expireJobs(now time.Time) {
 	for len(o.ended) > 0 && now.UnixMilli()-o.ended[0].endedMS >
-		o.cfg.Timing.StatusRetention.Milliseconds()+statusRetentionMargin.Milliseconds() {
+		o.statusRetention().Milliseconds() {
 		id := o.ended[0].id
 		j := o.jobs[id]
 		if j != nil && len(j.progress.Current) > 0 {
@@ -442,6 +453,11 @@
 	o.metrics.active.Update(float64(len(o.active)))
 }
 
+// statusRetention returns how long ended jobs, and cancels that came before their jobs, are kept.
+func (o *Owner) statusRetention() time.Duration {
+	return o.cfg.Timing.StatusRetention + statusRetentionMargin
+}
+
 // statusRetentionMargin extends the retention of ended jobs, because clocks may jump.
 const statusRetentionMargin = 30 * time.Second
 
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -31,10 +31,18 @@
 	}
 }
 
-// runInLoop runs a call in the event loop and returns its result; jobs.ErrOutcomeUnknown if ctx or the term ends first.
+// runInLoop runs a call in the event loop and returns its result; jobs.ErrOutcomeUnknown if ctx or the term ends first. All
+// calls pass here: after a pause none is answered from memory before the term is confirmed.
 func (o *Owner) runInLoop(ctx context.Context, call func(r reply)) error {
 	r := make(reply, 1)
-	if !o.post(func() { call(r) }) {
+	gated := func() {
+		if o.noticePause(); o.unconfirmed() {
+			o.hold(r, func() { call(r) })
+			return
+		}
+		call(r)
+	}
+	if !o.post(gated) {
 		return &jobs.Rejection{Reason: "the owner has stopped", RetryAfter: time.Second}
 	}
 	select {
@@ -63,14 +71,21 @@
 			r.send(o.storeStalled())
 			return
 		}
+		if o.earlyCancels.bind(spec) {
+			o.log.Info("job submitted after its cancel", "job", spec.ID)
+			j := o.newJob(spec)
+			j.progress.Cancel()
+			o.endJob(j)
+			o.acknowledge(j, r)
+			return
+		}
 		if rejection := o.admit(spec); rejection != nil {
 			o.metrics.rejected.Inc(1)
 			o.log.Info("job rejected", "job", spec.ID, "reason", rejection.Reason, "retry_after", rejection.RetryAfter)
 			r.send(rejection)
 			return
 		}
-		j := &job{spec: spec, progress: workload.NewProgress(spec), neverRecorded: true}
-		o.jobs[spec.ID] = j
+		j := o.newJob(spec)
 		o.active[spec.ID] = j
 		o.computePlan(j)
 		if spec.IsScheduled() {
@@ -88,6 +103,13 @@
 	})
 }
 
+// newJob adds a job that is not recorded yet.
+func (o *Owner) newJob(spec *workload.Job) *job {
+	j := &job{spec: spec, progress: workload.NewProgress(spec), neverRecorded: true}
+	o.jobs[spec.ID] = j
+	return j
+}
+
 // acknowledge answers a submission once its job is recorded. A job that is withdrawn before rejects it instead.
 func (o *Owner) acknowledge(j *job, r reply) {
 	if j.neverRecorded {
@@ -135,27 +157,49 @@
 	o.afterCommit(effect)
 }
 
-// runForJob is runInLoop for a job of the organisation; the error is jobs.ErrNoSuchJob for any other job. The name of the
-// call is for the log.
+// runForJob is runInLoop for a job of the organisation; the error is jobs.ErrNoSuchJob for any other job. A successor may
+// have accepted a job that is not in memory, so the store confirms the term first. The name of the call is for the log.
 func (o *Owner) runForJob(ctx context.Context, name, id, organisation string, call func(j *job, r reply)) error {
 	return o.runInLoop(ctx, func(r reply) {
-		j := o.jobs[id]
-		if j == nil || j.progress.Organisation != "" && j.progress.Organisation != organisation {
-			o.log.Info("no such job", "job", id, "call", name, "term_age_ms", o.term.Age().Milliseconds())
-			r.send(jobs.ErrNoSuchJob)
+		if j := o.jobOf(id, organisation); j != nil {
+			call(j, r)
 			return
 		}
-		call(j, r)
+		o.hold(r, func() {
+			if j := o.jobOf(id, organisation); j != nil { // submitted meanwhile
+				call(j, r)
+				return
+			}
+			o.denyJob(name, id, r)
+		})
 	})
 }
 
+// denyJob answers that a job does not exist. The term must have been confirmed since the call came.
+func (o *Owner) denyJob(name, id string, r reply) {
+	o.log.Info("no such job", "job", id, "call", name, "term_age_ms", o.term.Age().Milliseconds())
+	r.send(jobs.ErrNoSuchJob)
+}
+
+// jobOf returns a job that the organisation may see, or nil.
+func (o *Owner) jobOf(id, organisation string) *job {
+	j := o.jobs[id]
+	if j == nil || !mayAccess(j.progress.Organisation, organisation) {
+		return nil
+	}
+	return j
+}
+
+// mayAccess reports whether an organisation may see and cancel a job of the given owner: any may if it is anonymous.
+func mayAccess(owner, organisation string) bool { return owner == "" || owner == organisation }
+
 // Status implements jobs.Service. It returns the last recorded status; unrecorded changes are not visible.
 func (o *Owner) Status(ctx context.Context, id, organisation string) (jobs.Status, error) {
 	var status jobs.Status
 	err := o.runForJob(ctx, "status", id, organisation, func(j *job, r reply) {
 		respond := func() {
-			if o.jobs[id] != j {
-				r.send(jobs.ErrNoSuchJob) // it was withdrawn meanwhile
+			if o.jobs[id] != j { // it was withdrawn meanwhile
+				o.hold(r, func() { o.denyJob("status", id, r) })
 				return
 			}
 			status = j.recordedStatus
@@ -173,9 +217,15 @@
 	return status, nil
 }
 
-// Cancel implements jobs.Service.
+// Cancel implements jobs.Service. The cancel of a job that has not arrived is recorded as well: its submission may be on its
+// way, or be repeated.
 func (o *Owner) Cancel(ctx context.Context, id, organisation string) error {
-	return o.runForJob(ctx, "cancel", id, organisation, func(j *job, r reply) {
+	return o.runInLoop(ctx, func(r reply) {
+		j := o.jobOf(id, organisation)
+		if j == nil {
+			o.cancelEarly(id, organisation, r)
+			return
+		}
 		if j.progress.Cancel() {
 			o.metrics.cancelled.Inc(1)
 			o.log.Info("job cancelled", "job", id, "term_age_ms", o.term.Age().Milliseconds())
