Let the jobs of a removed queue go on under the terms of their acceptance

Cause: placement looked up the queue by the configuration in force and skipped steps without one; a successor could not even know where the queue had sent them. Change: the job's record holds the settings of its queue that it needs (pool, urgency, attempts, objective, advice). They apply once the configuration has no such queue. Records of earlier versions have none and behave as before.

--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -27,14 +27,26 @@
 	j.plan.criticalPath = criticalPath
 	d := schedule.Demand{LongRunning: j.spec.IsLongRunning(), ID: j.spec.ID, Remaining: longest}
 	slack, target := 1.0, time.Duration(0)
-	if q := o.cfg.Catalog().Queues[j.spec.Queue]; q != nil {
+	if q := o.queueOf(j.spec); q != nil {
 		d.Urgency, slack, target = q.Urgency, q.SlackFactor, q.TargetLatency
 	}
 	d.Objective = schedule.NewObjective(time.UnixMilli(j.spec.ReceivedMS), longest, slack, target)
 	j.plan.demand = d
 }
 
-// admit returns the reason to reject a job, or nil to accept it.
+// queueOf returns the queue of a job by the active configuration or, once it is removed, by the terms under which the job was
+// accepted; nil if neither is known.
+func (o *Owner) queueOf(spec *workload.Job) *catalog.Queue {
+	if q := o.cfg.Catalog().Queues[spec.Queue]; q != nil {
+		return q
+	}
+	if spec.Terms != nil {
+		return spec.Terms.Queue(spec.Queue)
+	}
+	return nil
+}
+
+// admit returns the reason to reject a job, or nil to accept it under the terms of its queue.
 func (o *Owner) admit(spec *workload.Job) *jobs.Rejection {
 	c := o.cfg.Catalog()
 	q := c.Queues[spec.Queue]
@@ -42,6 +54,7 @@
 		// The entry has a newer configuration than this instance, or an older one.
 		return &jobs.Rejection{Reason: "the queue is not known to the owner", RetryAfter: time.Second}
 	}
+	spec.Terms = workload.TermsOf(q)
 	if size := len(o.encode(spec)) + recordSize(topic.Record{Key: jobKeyPrefix + spec.ID}); size > o.cfg.MaxRecordBytes {
 		// An append that the store never accepts would block all later decisions.
 		return &jobs.Rejection{Reason: "the job is too large to be stored", Permanent: true}
@@ -118,7 +131,7 @@
 	views := map[string]*poolView{}
 	for i := range list {
 		r := &list[i]
-		q := c.Queues[r.job.spec.Queue]
+		q := o.queueOf(r.job.spec)
 		if q == nil {
 			continue
 		}
@@ -134,7 +147,7 @@
 		view.computeShares(c)
 	}
 	for _, p := range o.blockedEvictions {
-		if q := c.Queues[p.job.spec.Queue]; q != nil && views[q.Pool] != nil {
+		if q := o.queueOf(p.job.spec); q != nil && views[q.Pool] != nil {
 			view := views[q.Pool]
 			view.prepare(p.step(), p.stepKey(), nil, now)
 			schedule.Reserve(p.step(), view.candidates, 1)
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -78,7 +78,7 @@
 func (o *Owner) expectedCPU(now time.Time) map[string]int64 {
 	expected := map[string]int64{}
 	for _, j := range o.active {
-		q := o.cfg.Catalog().Queues[j.spec.Queue]
+		q := o.queueOf(j.spec)
 		if q == nil || j.spec.IsLongRunning() {
 			continue
 		}
@@ -129,7 +129,7 @@
 
 // recordArrival adds an occurrence of a job to the demand on its pool; long-running jobs do not count.
 func (o *Owner) recordArrival(spec *workload.Job, now time.Time) {
-	q := o.cfg.Catalog().Queues[spec.Queue]
+	q := o.queueOf(spec)
 	if q == nil || spec.IsLongRunning() {
 		return
 	}
@@ -285,12 +285,12 @@
 func (o *Owner) instancesNeeded() map[string]int {
 	needed := map[string]int{}
 	for _, p := range o.blockedEvictions {
-		if q := o.cfg.Catalog().Queues[p.job.spec.Queue]; q != nil {
+		if q := o.queueOf(p.job.spec); q != nil {
 			needed[q.Pool]++
 		}
 	}
 	for _, j := range o.active {
-		q := o.cfg.Catalog().Queues[j.spec.Queue]
+		q := o.queueOf(j.spec)
 		if q == nil || !j.spec.IsLongRunning() {
 			continue
 		}
@@ -327,7 +327,7 @@
 // countEligible returns how many of the workers that satisfy a condition can take a task of the step now.
 func (o *Owner) countEligible(j *job, occurrence, step int, condition func(*worker) bool) int {
 	spec := &j.spec.Steps[step]
-	q := o.cfg.Catalog().Queues[j.spec.Queue]
+	q := o.queueOf(j.spec)
 	if q == nil {
 		return 0
 	}
--- a/internal/owner/preempt.go
+++ b/internal/owner/preempt.go
@@ -47,7 +47,7 @@
 				pv.free[i] = pv.free[i].Add(p.step().ReservedResources())
 			case p.mayBePreempted():
 				urgency := 0
-				if q := o.cfg.Catalog().Queues[p.job.spec.Queue]; q != nil {
+				if q := o.queueOf(p.job.spec); q != nil {
 					urgency = q.Urgency
 				}
 				pv.victims = append(pv.victims, schedule.Victim{Worker: i, Resources: p.step().ReservedResources(),
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -312,7 +312,7 @@
 
 // maxFailures returns the number of failed runs of a task after which its job fails.
 func (o *Owner) maxFailures(j *job) int {
-	if q := o.cfg.Catalog().Queues[j.spec.Queue]; q != nil {
+	if q := o.queueOf(j.spec); q != nil {
 		return q.MaxAttempts
 	}
 	return defaultMaxFailures // the queue was removed, its jobs still run
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -69,6 +69,35 @@
 	Fingerprint string `cbor:"10,keyasint,omitempty"`
 	// KeepsAnswer reports whether the final checkpoint of the last run is the answer to the client.
 	KeepsAnswer bool `cbor:"11,keyasint,omitempty"`
+	// Terms are the settings of the queue when the job was accepted. They apply once the queue is removed; nil in records of
+	// earlier versions.
+	Terms *QueueTerms `cbor:"12,keyasint,omitempty"`
+}
+
+// QueueTerms are the settings of a queue that its jobs need (see catalog.Queue).
+type QueueTerms struct {
+	Pool           string        `cbor:"1,keyasint"`
+	Urgency        int           `cbor:"2,keyasint,omitempty"`
+	MaxAttempts    int           `cbor:"3,keyasint,omitempty"`
+	SlackFactor    float64       `cbor:"4,keyasint,omitempty"`
+	TargetLatency  time.Duration `cbor:"5,keyasint,omitempty"`
+	RequiresAdvice bool          `cbor:"6,keyasint,omitempty"`
+}
+
+// TermsOf returns the settings of a queue that its jobs need.
+func TermsOf(q *catalog.Queue) *QueueTerms {
+	return &QueueTerms{
+		Pool: q.Pool, Urgency: q.Urgency, MaxAttempts: q.MaxAttempts, SlackFactor: q.SlackFactor,
+		TargetLatency: q.TargetLatency, RequiresAdvice: q.RequiresAdvice,
+	}
+}
+
+// Queue returns a queue of the given name with these settings, which accepts no jobs.
+func (t *QueueTerms) Queue(name string) *catalog.Queue {
+	return &catalog.Queue{
+		Name: name, Pool: t.Pool, Urgency: t.Urgency, MaxAttempts: t.MaxAttempts, SlackFactor: t.SlackFactor,
+		TargetLatency: t.TargetLatency, RequiresAdvice: t.RequiresAdvice,
+	}
 }
 
 // IsLongRunning reports whether the job has a long-running step.
