Reject a job whose ID another job has

Cause: a submission whose ID was known counted as a repeat, whoever sent it. Change: it is a repeat only for the same queue and organisation (or without one, as after a key was revoked); otherwise it is rejected for good, since tasks are named by the ID alone. Measured: TestIDOfAnotherJobIsRejected failed for both cases ('<nil>') and passes; the tests of keys and repeats in owner, api and entry pass.

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -454,6 +454,34 @@
 	h.awaitState(o, "b", workload.Completed)
 }
 
+// Guards the truth of an acceptance: a job whose ID another one has was accepted and not stored.
+func TestIDOfAnotherJobIsRejected(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(j *workload.Job)
+		repeat bool
+	}{
+		"the same":           {func(*workload.Job) {}, true},
+		"key revoked since":  {func(j *workload.Job) { j.Organisation = "" }, true},
+		"other organisation": {func(j *workload.Job) { j.Organisation = "other" }, false},
+		"other queue":        {func(j *workload.Job) { j.Queue = "other" }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			o := h.startOwner(true)
+			h.submit(o, newJob("a", 1))
+			o = h.startOwner(true) // by the records as well
+			j := newJob("a", 1)
+			c.change(j)
+			var rejection *jobs.Rejection
+			err := o.Submit(t.Context(), j)
+			if rejected := errors.As(err, &rejection) && rejection.Permanent; rejected == c.repeat || err != nil && !rejected {
+				t.Errorf("%v, want a repeat: %v", err, c.repeat)
+			}
+		})
+	}
+}
+
 // A draining worker must receive no new work.
 func TestDrainingWorkerGetsNoNewWork(t *testing.T) {
 	h := newHarness(t)
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -63,6 +63,11 @@
 	}
 	return o.runInLoop(ctx, func(r reply) {
 		if j := o.jobs[spec.ID]; j != nil {
+			if !j.isRepeatedBy(spec) {
+				o.log.Info("job rejected", "job", spec.ID, "reason", errIDInUse.Reason)
+				r.send(errIDInUse)
+				return
+			}
 			o.acknowledge(j, r)
 			return
 		}
@@ -103,6 +108,17 @@
 	})
 }
 
+// errIDInUse rejects a job whose ID another one has. Tasks are named by the ID alone, so that only one can be kept.
+var errIDInUse = &jobs.Rejection{Reason: "the ID belongs to another job", Permanent: true}
+
+// isRepeatedBy reports whether a submission repeats that of the job rather than being one of another queue or organisation.
+// A repeated one may have become anonymous, as after its key was revoked.
+func (j *job) isRepeatedBy(spec *workload.Job) bool {
+	p := j.progress
+	return (p.Queue == "" || p.Queue == spec.Queue) &&
+		(p.Organisation == spec.Organisation || p.Organisation == "" || spec.Organisation == "")
+}
+
 // newJob adds a job that is not recorded yet.
 func (o *Owner) newJob(spec *workload.Job) *job {
 	j := &job{spec: spec, progress: workload.NewProgress(spec), neverRecorded: true}
