Record the progress of a job without the checkpoints that do not fit

Cause: the progress of a job is one record, checkpoints have no limit of their own, and an append that the store can never take is repeated for ever. Change: progress beyond a record is recorded without the checkpoints of whole steps, those with the most bytes first. A successor starts these tasks anew; the owner itself still has them. It is logged and counted (checkpoints_omitted). Open: an append that is refused for another reason, such as a wave of many thousand instances, is still repeated.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -122,7 +122,7 @@
 		j.specWritten = true
 		records = append(records, topic.Record{Key: jobKeyPrefix + id, Value: o.encode(j.spec)})
 	}
-	records = append(records, topic.Record{Key: progressKeyPrefix + id, Value: o.encode(j.progress)})
+	records = append(records, o.progressRecord(j))
 	if finished && !j.specDeleted {
 		j.specDeleted = true
 		records = append(records, topic.Record{Key: jobKeyPrefix + id})
@@ -130,6 +130,18 @@
 	return records
 }
 
+// progressRecord returns the record of a job's progress. Checkpoints have no limit of their own; those that do not fit into a
+// record are left out, so that a successor starts their tasks anew, instead of failing the append for all jobs.
+func (o *Owner) progressRecord(j *job) topic.Record {
+	r := topic.Record{Key: progressKeyPrefix + j.spec.ID, Value: o.encode(j.progress)}
+	if excess := recordSize(r) - o.cfg.MaxRecordBytes; excess > 0 {
+		r.Value = o.encode(j.progress.WithoutCheckpoints(excess))
+		o.metrics.checkpointsOmitted.Inc(1)
+		o.log.Warn("checkpoints not recorded: the progress of the job is too large", "job", j.spec.ID, "excess_bytes", excess)
+	}
+	return r
+}
+
 // encode returns v in CBOR. It panics on an error, because every recorded type can be encoded.
 func (o *Owner) encode(v any) []byte {
 	data, err := cbor.Marshal(v)
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -12,6 +12,7 @@
 	starts, startsRefused, startsUnanswered  tally.Counter
 	runsLost, maintenanceStarts, moves       tally.Counter
 	preempted, placementRounds               tally.Counter
+	checkpointsOmitted                       tally.Counter            // records of progress without all checkpoints
 	ended                                    map[string]tally.Counter // jobs by state
 	appendLatency, recovery, firstStartDelay tally.Histogram
 	active, workers                          tally.Gauge
@@ -27,10 +28,11 @@
 		startsRefused: scope.Counter("starts_refused"), startsUnanswered: scope.Counter("starts_unanswered"),
 		runsLost: scope.Counter("runs_lost"), maintenanceStarts: scope.Counter("upkeeps"), moves: scope.Counter("moves"),
 		preempted: scope.Counter("runs_preempted"), placementRounds: scope.Counter("placement_rounds"),
-		appendLatency:   scope.Histogram("append_latency", durationBuckets),
-		recovery:        scope.Histogram("recovery", durationBuckets),
-		firstStartDelay: scope.Histogram("first_start", durationBuckets),
-		active:          scope.Gauge("jobs_active"), workers: scope.Gauge("workers_held"),
+		checkpointsOmitted: scope.Counter("checkpoints_omitted"),
+		appendLatency:      scope.Histogram("append_latency", durationBuckets),
+		recovery:           scope.Histogram("recovery", durationBuckets),
+		firstStartDelay:    scope.Histogram("first_start", durationBuckets),
+		active:             scope.Gauge("jobs_active"), workers: scope.Gauge("workers_held"),
 		ended: map[string]tally.Counter{},
 	}
 	for _, state := range []string{"completed", "failed", "cancelled"} {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -482,6 +482,27 @@
 	}
 }
 
+// Guards the store's appends: a job whose checkpoints do not fit into a record stopped all that came after it.
+func TestCheckpointsTooLargeForARecord(t *testing.T) {
+	const interruptions, checkpointBytes = 20, 20_000 // four tasks run at a time, with a record limit of 64 KiB
+	h := newHarness(t)
+	h.store.MaxRecordBytes = 64 << 10
+	h.ownerStore = h.store
+	starts := 0
+	h.addWorker("w1", 0).WorkForSpec = func(string) workertest.Work {
+		if starts++; starts <= interruptions {
+			return workertest.Work{RunTime: time.Millisecond, EndReason: workers.Stopped,
+				FinalCheckpoint: strings.Repeat("c", checkpointBytes)}
+		}
+		return workertest.Work{RunTime: time.Millisecond, EndReason: workers.Done}
+	}
+	o := h.startOwner(true)
+	h.submit(o, newJob("a", 4, 1))
+	h.awaitState(o, "a", workload.Completed)
+	h.submit(o, newJob("b", 1))
+	h.awaitState(o, "b", workload.Completed)
+}
+
 // A draining worker must receive no new work.
 func TestDrainingWorkerGetsNoNewWork(t *testing.T) {
 	h := newHarness(t)
--- a/internal/topic/topictest/store.go
+++ b/internal/topic/topictest/store.go
@@ -24,6 +24,9 @@
 
 // Store is an in-memory log store. The zero value is ready for use.
 type Store struct {
+	// MaxRecordBytes limits key and value of a record; 0 is no limit.
+	MaxRecordBytes int
+
 	mu     sync.Mutex
 	topics map[topic.Name]*partition // protected by mu
 	faults Faults                    // protected by mu
@@ -136,6 +139,9 @@
 		if len(r.Key) > maxKeyBytes {
 			return 0, 0, errors.NotValidf("record key of %d bytes", len(r.Key))
 		}
+		if n := len(r.Key) + len(r.Value); s.MaxRecordBytes > 0 && n > s.MaxRecordBytes {
+			return 0, 0, errors.NotValidf("record of %d bytes", n)
+		}
 	}
 	offset, end, err := s.partition(name).apply(batch)
 	if err == nil && s.faults.LoseAnswers > 0 {
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -101,6 +102,42 @@
 	return &Progress{Organisation: j.Organisation, Queue: j.Queue, Fingerprint: j.Fingerprint}
 }
 
+// WithoutCheckpoints returns a copy that lacks the checkpoints of whole steps, those with the most bytes first, until at
+// least the given number of bytes is saved or none is left. Members of a gang keep the same checkpoint that way.
+func (p *Progress) WithoutCheckpoints(bytes int) *Progress {
+	type stepSize struct{ occurrence, step, bytes int }
+	var sizes []stepSize
+	for i, o := range p.Current {
+		for step, tasks := range o.Tasks {
+			n := 0
+			for k := range tasks {
+				n += len(tasks[k].Checkpoint)
+			}
+			sizes = append(sizes, stepSize{i, step, n})
+		}
+	}
+	slices.SortFunc(sizes, func(a, b stepSize) int { return cmp.Compare(b.bytes, a.bytes) })
+	reduced := *p
+	reduced.Current = make([]*Occurrence, len(p.Current))
+	for i, o := range p.Current {
+		copied := *o
+		copied.Tasks = slices.Clone(o.Tasks)
+		reduced.Current[i] = &copied
+	}
+	for _, s := range sizes {
+		if bytes <= 0 || s.bytes == 0 {
+			break
+		}
+		tasks := slices.Clone(reduced.Current[s.occurrence].Tasks[s.step])
+		for k := range tasks {
+			tasks[k].Checkpoint = ""
+		}
+		reduced.Current[s.occurrence].Tasks[s.step] = tasks
+		bytes -= s.bytes
+	}
+	return &reduced
+}
+
 // RebuildIndex restores derived fields after decoding.
 func (p *Progress) RebuildIndex() {
 	for _, o := range p.Current {
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -24,6 +25,29 @@
 	return j
 }
 
+// Whole steps lose their checkpoints, those with the most bytes first, and the progress itself keeps them.
+func TestWithoutCheckpoints(t *testing.T) {
+	task := func(bytes int) Task { return Task{Phase: Waiting, Checkpoint: strings.Repeat("c", bytes)} }
+	progress := func(steps ...[]Task) *Progress { return &Progress{Current: []*Occurrence{{Tasks: steps}}} }
+	for name, c := range map[string]struct {
+		save int
+		want *Progress
+	}{
+		"nothing":    {0, progress([]Task{task(1), task(1)}, []Task{task(10)}, []Task{task(4), task(0)})},
+		"largest":    {1, progress([]Task{task(1), task(1)}, []Task{task(0)}, []Task{task(4), task(0)})},
+		"second too": {11, progress([]Task{task(1), task(1)}, []Task{task(0)}, []Task{task(0), task(0)})},
+		"all":        {1000, progress([]Task{task(0), task(0)}, []Task{task(0)}, []Task{task(0), task(0)})},
+	} {
+		p := progress([]Task{task(1), task(1)}, []Task{task(10)}, []Task{task(4), task(0)})
+		if got := p.WithoutCheckpoints(c.save); !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%s: %+v, want %+v", name, got.Current[0], c.want.Current[0])
+		}
+		if len(p.Current[0].Tasks[1][0].Checkpoint) != 10 {
+			t.Errorf("%s: the progress itself was changed", name)
+		}
+	}
+}
+
 // placed identifies a run that was placed on a worker.
 type placed struct {
 	ref TaskRef
