--- a/internal/topic/topic.go
+++ b/internal/topic/topic.go
@@ -59,7 +59,8 @@
 	End int64
 }
 
-// Store is a log store. Its methods are safe for concurrent use; each makes one call.
+// Store is a log store. Its methods are safe for concurrent use; each makes one call, which ends in bounded time also if
+// the store does not answer and ctx has no deadline.
 type Store interface {
 	// Append returns the offset of the first appended record and the end of the partition.
 	Append(ctx context.Context, name Name, batch Batch) (offset, end int64, err error)
