Bound calls to the owner by what they wait for

Seen: a call to an owner that answers the pings of the connection but not the call, and whose caller has no deadline, ends after 10 minutes. Cause: one limit for all calls, the longest deadline of a client, which only the wait for the end of a job needs. Change: that call keeps it, every other one ends after 10 s with an unknown outcome. Entries repeat calls, which are idempotent, until their own deadline: one that the owner holds back for longer, as in an outage of the store, is asked again and not given up. Tests: TestEveryCallIsBounded goes over all methods of jobs.Service with such an owner. Before Cancel has not ended after 11s (and Fleet, Pending, Status, Submit) and after the change all end after 10 s.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -26,8 +26,10 @@
 	// pingInterval and pingTimeout detect an unresponsive connection within half of the shortest client deadline (3 s).
 	pingInterval = 500 * time.Millisecond
 	pingTimeout  = 500 * time.Millisecond
-	// callTimeout bounds calls without an earlier deadline: the maximum that the HTTP API allows.
-	callTimeout = 10 * time.Minute
+	// callTimeout bounds a call without an earlier deadline. The owner holds an answer until the store has its record.
+	callTimeout = 10 * time.Second
+	// awaitTimeout bounds a call that waits for the end of a job: the longest deadline that the HTTP API allows.
+	awaitTimeout = 10 * time.Minute
 	// maxMessageBytes fits the largest job: the platform's largest body (256 KiB) and its envelope.
 	maxMessageBytes = 512 << 10
 	// Path is the HTTP path at which a Server is mounted.
@@ -45,6 +47,14 @@
 	fleet
 )
 
+// timeout returns the time limit of a call.
+func (k requestKind) timeout() time.Duration {
+	if k == await {
+		return awaitTimeout
+	}
+	return callTimeout
+}
+
 type request struct {
 	ID           uint64        `cbor:"1,keyasint"`
 	Kind         requestKind   `cbor:"2,keyasint"`
@@ -301,7 +311,7 @@
 
 func (c *Client) call(ctx context.Context, req request) (response, error) {
 	req.ID = c.nextID.Add(1)
-	ctx, stop := context.WithTimeout(ctx, callTimeout)
+	ctx, stop := context.WithTimeout(ctx, req.Kind.timeout())
 	defer stop()
 	if deadline, ok := ctx.Deadline(); ok {
 		req.TimeoutMS = time.Until(deadline).Milliseconds()
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -5,7 +5,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -200,3 +202,131 @@
 		t.Errorf("dialling an instance that rejects connections: %v, want another error than ErrSilent", err)
 	}
 }
+
+// newIdleOwner returns the address of a peer that answers pings but no call, and the requests that it receives.
+func newIdleOwner(t *testing.T) (string, <-chan request) {
+	requests := make(chan request, 100)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.CloseNow()
+		for {
+			_, data, err := conn.Read(context.Background())
+			if err != nil {
+				return
+			}
+			var req request
+			if err := cbor.Unmarshal(data, &req); err != nil {
+				t.Error(err)
+			}
+			requests <- req
+		}
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), requests
+}
+
+// Guards against calls that wait for ever for an owner that is connected but does not answer them: each call of the service
+// ends without a deadline of its caller, one that waits for the end of a job at the longest deadline of a client.
+func TestEveryCallIsBounded(t *testing.T) {
+	const (
+		maxCall     = 11 * time.Second
+		maxAwaitMS  = 10 * 60 * 1000
+		roundTripMS = 1000
+	)
+	address, requests := newIdleOwner(t)
+	client, err := Dial(t.Context(), address, "one", func([]byte) {}, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	service := reflect.TypeFor[jobs.Service]()
+	var calls sync.WaitGroup
+	for i := range service.NumMethod() {
+		name := service.Method(i).Name
+		method := reflect.ValueOf(client.AtVersion(1)).MethodByName(name)
+		in := []reflect.Value{reflect.ValueOf(context.Background())}
+		for i := 1; i < method.Type().NumIn(); i++ {
+			in = append(in, reflect.Zero(method.Type().In(i)))
+		}
+		done := make(chan error, 1)
+		go func() {
+			out := method.Call(in)
+			err, _ := out[len(out)-1].Interface().(error)
+			done <- err
+		}()
+		sent := <-requests
+		if name == "Await" {
+			if sent.Kind != await || sent.TimeoutMS > maxAwaitMS || sent.TimeoutMS < maxAwaitMS-roundTripMS {
+				t.Errorf("%s is limited to %d ms, want %d ms", name, sent.TimeoutMS, maxAwaitMS)
+			}
+			continue
+		}
+		calls.Go(func() {
+			select {
+			case err := <-done:
+				if !errors.Is(err, jobs.ErrOutcomeUnknown) {
+					t.Errorf("%s: %v, want %v", name, err, jobs.ErrOutcomeUnknown)
+				}
+			case <-time.After(maxCall):
+				t.Errorf("%s has not ended after %v", name, maxCall)
+			}
+		})
+	}
+	calls.Wait()
+	if client.Silent() {
+		t.Error("the owner answers pings, but counts as silent")
+	}
+}
+
+// Guards against a limit that replaces an earlier deadline of the caller.
+func TestEarlierDeadlineCounts(t *testing.T) {
+	address, _ := newIdleOwner(t)
+	client, err := Dial(t.Context(), address, "one", func([]byte) {}, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	start := time.Now()
+	if err := client.AtVersion(1).Cancel(ctx, "a", "org"); !errors.Is(err, jobs.ErrOutcomeUnknown) || time.Since(start) > time.Second {
+		t.Errorf("%v after %v, want %v at the caller's deadline", err, time.Since(start), jobs.ErrOutcomeUnknown)
+	}
+}
+
+// Guards against connecting for ever to a peer that does not end its answer.
+func TestDialIsBounded(t *testing.T) {
+	for name, begin := range map[string]string{"silent": "", "trickling": "HTTP/1.1 101 Switching Protocols\r\nSlow: "} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = listener.Close() })
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				if _, err = conn.Read(make([]byte, 1)); err != nil {
+					return
+				}
+				_, err = conn.Write([]byte(begin))
+				for drip := []byte("a"); err == nil && t.Context().Err() == nil; time.Sleep(20 * time.Millisecond) {
+					if begin != "" {
+						_, err = conn.Write(drip)
+					}
+				}
+			}()
+			start := time.Now()
+			_, err = Dial(context.Background(), listener.Addr().String(), "one", func([]byte) {}, func() {})
+			if !errors.Is(err, ErrSilent) || time.Since(start) > time.Second {
+				t.Errorf("%v after %v, want %v within 1 s", err, time.Since(start), ErrSilent)
+			}
+		})
+	}
+}
