Let followers await a slow store

Seen: a follower gives up a read 0.4 s after its poll time. A slow store takes up to 0.5 s, and a page of 1 MB another 0.84 s on a link of 10 Mbit/s; the owner reads the directory of the workers without a poll time, so that then no read of it succeeds. Cause: a limit of the follower's own, shorter than the answers that the store may give. Test: TestFollowerAwaitsASlowStore, before context deadline exceeded (every read) seen [], want the first record and after the change the record arrives with the first read (1.34 s).

--- a/internal/topic/follow.go
+++ b/internal/topic/follow.go
@@ -33,8 +33,6 @@
 const (
 	followMinBackoff = 25 * time.Millisecond
 	followMaxBackoff = 200 * time.Millisecond
-	// callTimeout bounds a call in addition to its poll timeout: 100 times the usual response time of the store.
-	callTimeout = 400 * time.Millisecond
 )
 
 // Run follows the topic until ctx ends.
@@ -77,9 +75,7 @@
 		f.OnSnapshot(records)
 		return nil
 	}
-	callCtx, cancel := context.WithTimeout(ctx, f.PollTimeout+callTimeout)
-	defer cancel()
-	result, err := f.Store.Read(callCtx, f.Topic, *nextOffset, f.PollTimeout)
+	result, err := f.Store.Read(ctx, f.Topic, *nextOffset, f.PollTimeout)
 	if err != nil {
 		return err
 	}
--- a/internal/topic/follow_test.go
+++ b/internal/topic/follow_test.go
@@ -12,6 +12,7 @@
 	"github.com/pollenford/pollenford/internal/guard"
 	"github.com/pollenford/pollenford/internal/topic"
 	"github.com/pollenford/pollenford/internal/topic/topictest"
+	"github.com/pollenford/pollenford/internal/wait"
 )
 
 // Guards against a process that ends because a follower panics on a record, and against one that never gets past it.
@@ -47,3 +48,41 @@
 		t.Errorf("seen %v, last error %v; want both records and an error for the panic", seen, failure)
 	}
 }
+
+// slowStore answers a read after a while, unless its caller gives up.
+type slowStore struct {
+	topic.Store
+	answerTime time.Duration
+}
+
+func (s *slowStore) Read(ctx context.Context, name topic.Name, from int64, poll time.Duration) (topic.ReadResult, error) {
+	if !wait.For(ctx, s.answerTime) {
+		return topic.ReadResult{}, ctx.Err()
+	}
+	return s.Store.Read(ctx, name, from, poll)
+}
+
+// Guards against a follower that gives up on every answer of a slow store (0.5 s), or on a page of 1 MB on the thinnest
+// link (10 Mbit/s), and so never gets past it.
+func TestFollowerAwaitsASlowStore(t *testing.T) {
+	const answerTime = 500*time.Millisecond + 840*time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	store := &topictest.Store{}
+	var seen []string
+	f := &topic.Follower{
+		Store: &slowStore{store, answerTime}, Topic: "topic", Log: hclog.NewNullLogger(),
+		OnSnapshot: func([]topic.Record) { store.Put("topic", "first", []byte("1")) },
+		OnRecords: func(records []topic.Record, _ int64) {
+			for _, r := range records {
+				seen = append(seen, r.Key)
+			}
+			cancel()
+		},
+		OnError: func(err error) { t.Log(err) },
+	}
+	f.Run(ctx)
+	if !slices.Equal(seen, []string{"first"}) {
+		t.Errorf("seen %v, want the first record", seen)
+	}
+}
