Keep a run that a worker's next incarnation may have

Seen: a start that waited for a connection while its worker was down reached the worker's next life under the same ID, which ran the task to `done`. Cause: a start is sent to an ID and an address, which both lives have. The incarnation in its reply was dropped, and the restart ended all runs of the worker at once. A stop had the same gap: one that the earlier life had confirmed was taken to keep a late start out of the next. Change: starts and stops return the incarnation that answered. A restart ends at once only the runs that an earlier incarnation is known to have had, and those whose start was not sent. Any other run stays placed until the new incarnation lists it, lists no such run after it was confirmed, or confirms a stop of it; an unanswered start is stopped as before, and only a stop that the present incarnation confirmed counts. Where replies do not name the incarnation, the next list decides. A run that is not found ends as interrupted, as it may have run before the crash. Leases requested on the earlier clock can last as long as the worker allows in the new life, so the bound for an unreachable worker is extended. Why it works: nothing is started again while a start of it can still be carried out by an incarnation that has not confirmed a stop, and ends of the placed run number are counted whichever incarnation had the run.

--- a/internal/node/guarded.go
+++ b/internal/node/guarded.go
@@ -41,12 +41,12 @@
 	log hclog.Logger
 }
 
-func (g guardedWorkers) Start(ctx context.Context, to workers.Target, request workers.StartRequest) (clockMS int64, err error) {
+func (g guardedWorkers) Start(ctx context.Context, to workers.Target, request workers.StartRequest) (reply workers.Reply, err error) {
 	defer guard.Recover(g.log, "start of a run", &err)
 	return g.Client.Start(ctx, to, request)
 }
 
-func (g guardedWorkers) Stop(ctx context.Context, to workers.Target, task string, run int) (err error) {
+func (g guardedWorkers) Stop(ctx context.Context, to workers.Target, task string, run int) (reply workers.Reply, err error) {
 	defer guard.Recover(g.log, "stop of a run", &err)
 	return g.Client.Stop(ctx, to, task, run)
 }
--- a/internal/node/guarded_test.go
+++ b/internal/node/guarded_test.go
@@ -24,7 +24,7 @@
 		"read":     func() error { _, err := cfg.Store.Read(ctx, "t", 0, 0); return err },
 		"snapshot": func() error { _, _, _, err := cfg.Store.SnapshotPage(ctx, "t", ""); return err },
 		"start":    func() error { _, err := cfg.Workers.Start(ctx, workers.Target{}, workers.StartRequest{}); return err },
-		"stop":     func() error { return cfg.Workers.Stop(ctx, workers.Target{}, "task", 1) },
+		"stop":     func() error { _, err := cfg.Workers.Stop(ctx, workers.Target{}, "task", 1); return err },
 		"heartbeat": func() error {
 			_, err := cfg.Workers.Heartbeat(ctx, workers.Target{}, workers.HeartbeatRequest{})
 			return err
--- /dev/null
+++ b/internal/owner/reborn_test.go
@@ -0,0 +1,161 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pollenford/pollenford/internal/workers"
+	"github.com/pollenford/pollenford/internal/workers/workertest"
+	"github.com/pollenford/pollenford/internal/workload"
+)
+
+// restart starts a worker again under its ID, as a later incarnation that knows nothing of the earlier one.
+func (h *harness) restart(id string, incarnation int64, runTime time.Duration) *workertest.Worker {
+	return h.fleet.Add("address-of-"+id, id, incarnation, runTime)
+}
+
+// publishRestart updates a worker's entry in the directory after a restart.
+func (h *harness) publishRestart(id string, incarnation int64) {
+	info := h.workerInfos[id]
+	info.Incarnation = incarnation
+	h.publish(info)
+}
+
+// checkNothingRanTwice reports tasks that were started while another run of them was active or after one was
+// done whose end was acknowledged.
+func (h *harness) checkNothingRanTwice(t interface{ Errorf(string, ...any) }) {
+	starts := h.fleet.Starts()
+	for i, later := range starts {
+		for _, earlier := range starts[:i] {
+			if earlier.Task != later.Task {
+				continue
+			}
+			switch {
+			case earlier.EndReason == workers.Done && earlier.EndAcknowledged:
+				t.Errorf("run %d of %s was started on %s after run %d had ended done on %s, an end that was acknowledged", later.Run, later.Task, later.Worker,
+					earlier.Run, earlier.Worker)
+			case earlier.EndedAt.IsZero() || earlier.EndedAt.After(later.At):
+				t.Errorf("run %d of %s was started on %s while run %d was active on %s", later.Run, later.Task, later.Worker,
+					earlier.Run, earlier.Worker)
+			}
+		}
+	}
+}
+
+// Guards against a start that waits for a connection while its worker crashes and is then carried out by the worker's
+// next incarnation. The run must be adopted there, or be stopped before the task is started again.
+func TestStartReachesTheNextIncarnation(t *testing.T) {
+	const address = "address-of-w1"
+	for name, c := range map[string]struct {
+		omitIncarnation bool
+		deliver         func(h *harness, o *runningOwner)
+		runs            int // of the task; 0 for any number
+	}{
+		"before the restart is noticed": {deliver: func(h *harness, _ *runningOwner) {
+			h.fleet.ReleaseStarts(address)
+			h.publishRestart("w1", 2)
+		}, runs: 1},
+		"before the restart is noticed, not named in the reply": {omitIncarnation: true, deliver: func(h *harness, _ *runningOwner) {
+			h.fleet.ReleaseStarts(address)
+			h.publishRestart("w1", 2)
+		}, runs: 1},
+		"after the restart is noticed": {deliver: func(h *harness, o *runningOwner) {
+			h.publishRestart("w1", 2)
+			h.awaitIncarnation(o, "w1", 2)
+			h.fleet.ReleaseStarts(address)
+		}, runs: 1},
+		"after the restart is noticed, not named in the reply": {omitIncarnation: true, deliver: func(h *harness, o *runningOwner) {
+			h.publishRestart("w1", 2)
+			h.awaitIncarnation(o, "w1", 2)
+			h.fleet.ReleaseStarts(address)
+		}, runs: 1},
+		"after its timeout": {deliver: func(h *harness, o *runningOwner) {
+			h.publishRestart("w1", 2)
+			time.Sleep(requestTimeout + 300*time.Millisecond)
+			h.fleet.ReleaseStarts(address)
+		}},
+		"after its timeout, which precedes the restart": {deliver: func(h *harness, _ *runningOwner) {
+			h.publishRestart("w1", 2)
+			time.Sleep(requestTimeout - 50*time.Millisecond)
+			h.restart("w1", 3, 150*time.Millisecond)
+			h.publishRestart("w1", 3)
+			time.Sleep(200 * time.Millisecond)
+			h.fleet.ReleaseStarts(address)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			h.fleet.OmitIncarnation = c.omitIncarnation
+			h.addWorker("w1", 150*time.Millisecond)
+			h.fleet.HoldStarts(address)
+			o := h.startOwner(true)
+			h.submit(o, newJob("a", 1))
+			h.await("the start is on its way", func() bool { return h.fleet.HeldStarts(address) == 1 })
+			h.restart("w1", 2, 150*time.Millisecond)
+			c.deliver(h, o)
+			h.awaitState(o, "a", workload.Completed)
+			h.checkNothingRanTwice(t)
+			if n := len(h.startsOf("a.0.0.0")); c.runs != 0 && n != c.runs {
+				t.Errorf("%d runs, want %d", n, c.runs)
+			}
+		})
+	}
+}
+
+// awaitIncarnation waits until an owner knows of an incarnation of a worker.
+func (h *harness) awaitIncarnation(o *runningOwner, id string, incarnation int64) {
+	h.t.Helper()
+	h.await(fmt.Sprintf("%s is known as incarnation %d", id, incarnation), func() (known bool) {
+		h.inLoop(o, func() { known = o.workers[id] != nil && o.workers[id].info.Incarnation == incarnation })
+		return known
+	})
+}
+
+// Crashes at any moment, with starts that are delivered at any moment, run no task twice and lose none.
+func TestRestartsRunNothingTwice(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(rt *rapid.T) {
+		h := newHarness(t)
+		h.discardLogs = true
+		h.fleet.OmitIncarnation = rapid.Bool().Draw(rt, "omit incarnation")
+		runTime := time.Duration(rapid.IntRange(5, 60).Draw(rt, "run ms")) * time.Millisecond
+		h.addWorker("w1", runTime)
+		o := h.startOwner(true)
+		defer o.stop()
+		const tasks = 4
+		incarnation := int64(1)
+		crashes := rapid.IntRange(1, 2).Draw(rt, "crashes")
+		for i := range crashes {
+			pause := func(what string, most int) {
+				time.Sleep(time.Duration(rapid.IntRange(0, most).Draw(rt, what)) * time.Millisecond)
+			}
+			pause("until starts wait", 40)
+			h.fleet.HoldStarts("address-of-w1")
+			h.submit(o, newJob(fmt.Sprint("job", i), tasks))
+			pause("until the crash", 40)
+			incarnation++
+			h.restart("w1", incarnation, runTime)
+			released := rapid.SampledFrom([]string{"first", "between", "last"}).Draw(rt, "starts delivered")
+			if released == "first" {
+				h.fleet.ReleaseStarts("address-of-w1")
+			}
+			pause("until the entry changes", 80)
+			if released == "between" {
+				h.fleet.ReleaseStarts("address-of-w1")
+			}
+			h.publishRestart("w1", incarnation)
+			if released == "last" {
+				pause("until starts are delivered", 80)
+				h.fleet.ReleaseStarts("address-of-w1")
+			}
+		}
+		for i := range crashes {
+			h.awaitState(o, fmt.Sprint("job", i), workload.Completed)
+		}
+		h.checkNothingRanTwice(rt)
+	})
+}
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -125,32 +125,32 @@
 		return
 	}
 	request.LeaseUntilMS = o.extendLease(w)
+	p.startSent = true
 	o.metrics.starts.Inc(1)
 	o.log.Debug("run starting", "task", p.taskName, "run", p.run, "worker", w.info.ID, "until_ms", request.LeaseUntilMS)
 	target := w.session.target
 	go func() {
 		ctx, stop := context.WithTimeout(o.ctx, requestTimeout)
 		defer stop()
+		var reply workers.Reply
 		var err error
 		if o.leading() { // the process may have been suspended since
-			_, err = o.cfg.Workers.Start(ctx, target, request)
+			reply, err = o.cfg.Workers.Start(ctx, target, request)
 		} else {
 			err = workers.ErrRequestExpired
 		}
-		o.post(func() { o.handleStartResult(w, p, err) })
+		o.post(func() { o.handleStartResult(w, p, reply, err) })
 	}()
 }
 
 // handleStartResult processes the result of a start request.
-func (o *Owner) handleStartResult(w *worker, p *placement, err error) {
+func (o *Owner) handleStartResult(w *worker, p *placement, reply workers.Reply, err error) {
 	if w.runs[p.taskName] != p {
 		return
 	}
 	switch {
 	case err == nil:
-		if p.confirmedAt.IsZero() {
-			p.confirmedAt = time.Now()
-		}
+		o.confirmStart(w, p, reply.Incarnation)
 	case errors.Is(err, workers.ErrFenced):
 		o.stepDown("worker " + w.info.ID + " has accepted a newer owner")
 	case isRefusal(err):
@@ -173,6 +173,24 @@
 	}
 }
 
+// confirmStart processes the acceptance of a start by an incarnation, or by an unknown one (0).
+func (o *Owner) confirmStart(w *worker, p *placement, incarnation int64) {
+	if incarnation > w.info.Incarnation {
+		o.log.Info("worker restarted", "worker", w.info.ID, "incarnation", incarnation)
+		o.resetIncarnation(w, incarnation)
+	}
+	if incarnation != 0 && incarnation < w.info.Incarnation {
+		o.loseRun(w, p, workload.Interrupted, "worker restarted")
+		return
+	}
+	if incarnation != 0 {
+		p.seenOn = incarnation
+	}
+	if p.confirmedAt.IsZero() {
+		p.confirmedAt = time.Now()
+	}
+}
+
 // Pauses before a worker receives new work.
 const (
 	// refusalBackoff leaves time for the next heartbeat to show what occupies the worker.
@@ -213,37 +231,44 @@
 		return
 	}
 	p.stopSent = true
-	o.sendStop(w, p, w.session.target)
+	o.sendStop(w, p)
 }
 
-func (o *Owner) sendStop(w *worker, p *placement, target workers.Target) {
+func (o *Owner) sendStop(w *worker, p *placement) {
+	target, sentTo := w.session.target, w.info.Incarnation
 	go func() {
 		ctx, stop := context.WithTimeout(o.ctx, requestTimeout)
-		err := o.cfg.Workers.Stop(ctx, target, p.taskName, p.run)
+		reply, err := o.cfg.Workers.Stop(ctx, target, p.taskName, p.run)
 		stop()
 		if err != nil && !wait.For(o.ctx, stopRetryDelay) {
 			return
 		}
 		o.post(func() {
-			if o.handleStopResult(w, p, err) {
-				o.sendStop(w, p, w.session.target)
+			if reply.Incarnation == 0 {
+				reply.Incarnation = sentTo // or a later one
+			}
+			if o.handleStopResult(w, p, reply.Incarnation, err) {
+				o.sendStop(w, p)
 			}
 		})
 	}()
 }
 
-// handleStopResult processes the result of a stop request and reports whether to retry it.
-func (o *Owner) handleStopResult(w *worker, p *placement, err error) bool {
+// handleStopResult processes the result of a stop request and reports whether to retry it. A stop that an earlier
+// incarnation confirmed does not keep the start from reaching the present one.
+func (o *Owner) handleStopResult(w *worker, p *placement, incarnation int64, err error) bool {
 	if w.runs[p.taskName] != p || w.session == nil {
 		return false
 	}
 	switch {
-	case err == nil:
-		p.stoppedAt = time.Now()
-		return false
 	case errors.Is(err, workers.ErrFenced):
 		o.stepDown("worker " + w.info.ID + " has accepted a newer owner")
 		return false
+	case incarnation < w.info.Incarnation:
+		return true
+	case err == nil:
+		p.stoppedAt = time.Now()
+		return false
 	case errors.Is(err, workers.ErrIncarnationMismatch), errors.Is(err, workers.ErrStaleRun),
 		errors.Is(err, workers.ErrInvalidRequest):
 		p.stoppedAt = time.Now()
@@ -259,7 +284,7 @@
 	go func() {
 		ctx, stop := context.WithTimeout(o.ctx, requestTimeout)
 		defer stop()
-		if err := o.cfg.Workers.Stop(ctx, target, run.Task, run.Number); err != nil {
+		if _, err := o.cfg.Workers.Stop(ctx, target, run.Task, run.Number); err != nil {
 			o.log.Warn("stopping an unknown run failed; the next heartbeat retries", "task", run.Task, "err", err)
 		}
 	}()
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -51,7 +51,12 @@
 	taskName string
 	run      int
 	// confirmedAt is when the worker confirmed the start, or first reported the run; zero until then.
-	confirmedAt  time.Time
+	confirmedAt time.Time
+	// seenOn is the incarnation known to have the run; 0 until a reply or a list of the worker shows it.
+	seenOn    int64
+	startSent bool // by this owner
+	restarted bool // the worker restarted while the start may have been on its way
+
 	adopted      bool // placed by an earlier owner
 	reported     bool // listed as running in a heartbeat response
 	speedPercent int
@@ -190,18 +195,42 @@
 	}
 }
 
-// resetIncarnation discards the state of a worker's earlier incarnation.
+// resetIncarnation discards the state of a worker's earlier incarnation. Runs whose start may have reached the new one,
+// or may still reach it, stay placed until its replies and lists show where they are.
 func (o *Owner) resetIncarnation(w *worker, incarnation int64) {
 	w.info.Incarnation = incarnation
+	o.extendLeaseBound(w)
 	for _, p := range w.placements() {
-		if t := p.job.progress.Task(p.ref); t != nil && t.Incarnation != incarnation {
+		t := p.job.progress.Task(p.ref)
+		switch {
+		case t == nil || t.Incarnation == incarnation:
+		case p.seenOn != 0 && p.seenOn != incarnation:
 			o.loseRun(w, p, workload.Interrupted, "worker restarted")
+		case !p.startSent && !p.adopted:
+			o.loseRun(w, p, workload.NeverStarted, "worker restarted")
+		default:
+			p.restarted = true
+			if !p.stoppedAt.IsZero() {
+				p.stoppedAt, p.stopSent = time.Time{}, false
+			}
 		}
 	}
 	w.lastEndSeen, w.lastEndRecorded, w.clockMS, w.sessionEstablished = 0, 0, 0, false
 	w.health = health{}
 }
 
+// extendLeaseBound provides for leases that were requested of a worker's earlier incarnation and reach the next one. Its
+// clock starts anew, so that it shortens them only to the longest lease it accepts.
+func (o *Owner) extendLeaseBound(w *worker) {
+	if w.clockMS == 0 && len(w.runs) == 0 {
+		return // none was requested
+	}
+	w.leaseUntil = latest(w.leaseUntil, time.Now().Add(leaseExpiryBound(o.cfg.Timing.MaxLease)))
+	if w.lossRecorded {
+		o.recordLoss(w)
+	}
+}
+
 // endOlderIncarnations ends the runs of earlier workers on the same instance, which runs one worker at a time.
 func (o *Owner) endOlderIncarnations(w *worker) {
 	for _, other := range o.workerIndex.byInstance[w.info.Instance] {
@@ -398,7 +427,7 @@
 			o.stopUnknownRun(w, run)
 			continue
 		}
-		p.reported = true
+		p.reported, p.seenOn = true, w.info.Incarnation
 		p.speedPercent = run.SpeedPercent
 		if t := p.job.progress.Task(p.ref); t != nil && run.Checkpoint != "" {
 			t.Checkpoint = run.Checkpoint
@@ -414,6 +443,9 @@
 		if n, ok := running[p.taskName]; ok && n == p.run {
 			continue
 		}
+		if p.stopping && !p.stopSent {
+			o.stopRun(w, p)
+		}
 		// Since its first heartbeat the worker rejects requests of earlier owners, so an adopted run it omits cannot start.
 		absent := p.adopted ||
 			!p.stoppedAt.IsZero() && sent.After(p.stoppedAt.Add(o.cfg.Timing.StopTime)) ||
@@ -421,7 +453,7 @@
 		if absent && len(response.Ended) < maxReportedEnds {
 			// A worker lists a started run until its end is acknowledged, which happens only after the end is recorded.
 			result := workload.NeverStarted
-			if !p.confirmedAt.IsZero() {
+			if !p.confirmedAt.IsZero() || p.restarted {
 				result = workload.Interrupted
 			}
 			o.loseRun(w, p, result, "not reported by the worker")
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -56,7 +56,7 @@
 	return false
 }
 
-// Target addresses one incarnation of a worker.
+// Target addresses a worker: the incarnation with this ID that is up when the request arrives.
 type Target struct {
 	ID      string
 	Address string
@@ -117,6 +117,12 @@
 	Checkpoint string
 }
 
+// Reply is what a worker says of itself in response to a start or a stop. Fields that the response lacks are 0.
+type Reply struct {
+	Incarnation int64
+	ClockMS     int64
+}
+
 // HeartbeatResponse is the state of a worker, in response to a heartbeat.
 type HeartbeatResponse struct {
 	Incarnation int64
@@ -127,10 +133,10 @@
 
 // Client sends requests to workers. Each method makes one call and is safe for concurrent use.
 type Client interface {
-	// Start returns the worker's clock in milliseconds, or 0 if the response did not contain it.
-	Start(ctx context.Context, to Target, request StartRequest) (clockMS int64, err error)
-	// Stop stops a run; one that has not started yet cannot start afterwards.
-	Stop(ctx context.Context, to Target, task string, run int) error
+	// Start starts a run. A request that waits for a connection may reach a later incarnation than the one it was sent to.
+	Start(ctx context.Context, to Target, request StartRequest) (Reply, error)
+	// Stop stops a run; one that has not started yet cannot start afterwards on the incarnation that responds.
+	Stop(ctx context.Context, to Target, task string, run int) (Reply, error)
 	// Heartbeat returns the state of the worker.
 	Heartbeat(ctx context.Context, to Target, request HeartbeatRequest) (HeartbeatResponse, error)
 }
--- a/internal/workers/workertest/fleet.go
+++ b/internal/workers/workertest/fleet.go
@@ -23,6 +23,15 @@
 	workers map[string]*Worker // by address; protected by mu
 	// starts lists all started runs in order; protected by mu.
 	starts []*Start
+	// OmitIncarnation leaves the incarnation out of the replies to starts and stops. Set it before the first call.
+	OmitIncarnation bool
+	// heldStarts holds back the starts sent to an address until its channel is closed; protected by mu.
+	heldStarts map[string]*heldStarts
+}
+
+type heldStarts struct {
+	released chan struct{}
+	waiting  int
 }
 
 // Start describes a started run.
@@ -36,6 +45,8 @@
 	// EndedAt is zero while the run is active. EndReason is empty for a run that was lost with its worker.
 	EndedAt   time.Time
 	EndReason workers.EndReason
+	// EndAcknowledged reports whether an acknowledgement covered the end.
+	EndAcknowledged bool
 }
 
 // Worker is one worker of a fleet.
@@ -56,6 +67,7 @@
 	leaseUntil   time.Time
 	runs         map[string]*run
 	ended        []workers.RunEnd
+	endedStarts  []*Start // parallel to ended
 	lastSequence int64
 	highestRun   map[string]int
 	unresponsive bool
@@ -118,6 +130,39 @@
 	}
 }
 
+// HoldStarts makes starts wait on their way to an address, until ReleaseStarts. They reach the worker that is there then,
+// even if the caller has given up.
+func (f *Fleet) HoldStarts(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.heldStarts == nil {
+		f.heldStarts = map[string]*heldStarts{}
+	}
+	if f.heldStarts[address] == nil {
+		f.heldStarts[address] = &heldStarts{released: make(chan struct{})}
+	}
+}
+
+// HeldStarts returns how many starts wait on their way to an address.
+func (f *Fleet) HeldStarts(address string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if held := f.heldStarts[address]; held != nil {
+		return held.waiting
+	}
+	return 0
+}
+
+// ReleaseStarts delivers the starts that wait on their way to an address and restores normal operation.
+func (f *Fleet) ReleaseStarts(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if held := f.heldStarts[address]; held != nil {
+		close(held.released)
+		delete(f.heldStarts, address)
+	}
+}
+
 // At returns the worker at an address, or nil.
 func (f *Fleet) At(address string) *Worker {
 	f.mu.Lock()
@@ -234,6 +279,14 @@
 	}
 }
 
+// reply returns what the worker says of itself. The caller holds fleet.mu.
+func (w *Worker) reply() workers.Reply {
+	if w.fleet.OmitIncarnation {
+		return workers.Reply{ClockMS: w.clock()}
+	}
+	return workers.Reply{Incarnation: w.Incarnation, ClockMS: w.clock()}
+}
+
 func (w *Worker) clock() int64 { return time.Since(w.startedAt).Milliseconds() + 1 }
 
 func (w *Worker) endRun(task string, r *run, reason workers.EndReason, at time.Time) {
@@ -245,7 +298,7 @@
 	if reason == workers.Done || reason == workers.Stopped {
 		end.Checkpoint = r.work.FinalCheckpoint
 	}
-	w.ended = append(w.ended, end)
+	w.ended, w.endedStarts = append(w.ended, end), append(w.endedStarts, r.start)
 	close(w.runEnded)
 	w.runEnded = make(chan struct{})
 }
@@ -284,8 +337,13 @@
 }
 
 // Start implements workers.Client.
-func (f *Fleet) Start(ctx context.Context, to workers.Target, request workers.StartRequest) (int64, error) {
+func (f *Fleet) Start(ctx context.Context, to workers.Target, request workers.StartRequest) (workers.Reply, error) {
 	f.mu.Lock()
+	if held := f.heldStarts[to.Address]; held != nil {
+		held.waiting++
+		f.mu.Unlock()
+		return f.startLate(ctx, held, to, request)
+	}
 	w := f.workers[to.Address]
 	if w != nil && w.startDelay > 0 {
 		time.AfterFunc(w.startDelay, func() {
@@ -295,28 +353,51 @@
 		})
 		f.mu.Unlock()
 		<-ctx.Done()
-		return 0, ctx.Err()
+		return workers.Reply{}, ctx.Err()
 	}
 	defer f.mu.Unlock()
 	return f.start(to, request)
 }
 
-func (f *Fleet) start(to workers.Target, request workers.StartRequest) (int64, error) {
+// startLate delivers a start once it is released. The response is lost if the caller has given up by then.
+func (f *Fleet) startLate(ctx context.Context, held *heldStarts, to workers.Target,
+	request workers.StartRequest) (workers.Reply, error) {
+	type result struct {
+		reply workers.Reply
+		err   error
+	}
+	results := make(chan result, 1)
+	go func() {
+		<-held.released
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		reply, err := f.start(to, request)
+		results <- result{reply, err}
+	}()
+	select {
+	case r := <-results:
+		return r.reply, r.err
+	case <-ctx.Done():
+		return workers.Reply{}, ctx.Err()
+	}
+}
+
+func (f *Fleet) start(to workers.Target, request workers.StartRequest) (workers.Reply, error) {
 	w, err := f.lookUp(to)
 	if err != nil {
-		return 0, err
+		return workers.Reply{}, err
 	}
 	if w.startError != nil {
-		return w.clock(), w.startError
+		return w.reply(), w.startError
 	}
 	if r := w.runs[request.Task]; r != nil && r.number == request.Run {
-		return w.clock(), nil
+		return w.reply(), nil
 	}
 	if request.Run <= w.highestRun[request.Task] {
-		return w.clock(), workers.ErrStaleRun
+		return w.reply(), workers.ErrStaleRun
 	}
 	if request.LeaseUntilMS <= w.clock() {
-		return w.clock(), workers.ErrRequestExpired
+		return w.reply(), workers.ErrRequestExpired
 	}
 	w.extendLease(request.LeaseUntilMS)
 	started := &Start{
@@ -335,7 +416,7 @@
 	}
 	w.runs[request.Task] = r
 	f.starts = append(f.starts, started)
-	return w.clock(), nil
+	return w.reply(), nil
 }
 
 func (w *Worker) extendLease(leaseUntilMS int64) {
@@ -345,7 +426,7 @@
 }
 
 // Stop implements workers.Client.
-func (f *Fleet) Stop(ctx context.Context, to workers.Target, task string, number int) error {
+func (f *Fleet) Stop(ctx context.Context, to workers.Target, task string, number int) (workers.Reply, error) {
 	f.mu.Lock()
 	w := f.workers[to.Address]
 	if w != nil && w.holdsStops {
@@ -353,15 +434,15 @@
 		w.heldStops = append(w.heldStops, func() { w.stop(task, number) })
 		f.mu.Unlock()
 		<-ctx.Done()
-		return ctx.Err()
+		return workers.Reply{}, ctx.Err()
 	}
 	defer f.mu.Unlock()
 	w, err := f.lookUp(to)
 	if err != nil {
-		return err
+		return workers.Reply{}, err
 	}
 	w.stop(task, number)
-	return nil
+	return w.reply(), nil
 }
 
 func (w *Worker) stop(task string, number int) {
@@ -387,7 +468,8 @@
 		w.extendLease(request.LeaseUntilMS)
 	}
 	for len(w.ended) > 0 && w.ended[0].Sequence <= request.AcknowledgedEnds {
-		w.ended = w.ended[1:]
+		w.endedStarts[0].EndAcknowledged = true
+		w.ended, w.endedStarts = w.ended[1:], w.endedStarts[1:]
 	}
 	deadline := time.Now().Add(request.PollTimeout)
 	for len(w.ended) == 0 && time.Now().Before(deadline) {
