Acknowledge no ends of a worker's next incarnation unseen

Seen: after a restart of a worker, an end that the owner had not read was forgotten by the worker and its task was started again. Cause: each heartbeat repeated the last acknowledgement. Ends are numbered from 1 in each incarnation, so that one repeated to a worker that had been down acknowledged ends of its next life. The record of ends of the earlier life, when it was answered after the restart was noticed on the same session, also became the position to acknowledge. Evidence: before, TestAcknowledgementDoesNotReachTheNextIncarnation fails with 'run 2 of b.0.0.0 was started on w1 after run 1 had ended done on w1, an end that was acknowledged', and TestLateRecordOfEndsDoesNotReachTheNextIncarnation with 'ends up to 9 of the next incarnation may be acknowledged, none was listed'. Change: a heartbeat acknowledges only if the last response of an established session listed ends, and a record counts only for the incarnation whose ends it holds. Why it works: a worker forgets what is acknowledged, so nothing has to be acknowledged twice; after a lost heartbeat it lists the ends again. Not covered: an acknowledgement that is itself on its way when the worker crashes. The protocol cannot bind it to an incarnation.

--- a/internal/owner/reborn_test.go
+++ b/internal/owner/reborn_test.go
@@ -106,6 +106,58 @@
 	}
 }
 
+// Guards against acknowledging ends of a worker's next incarnation that the owner has not seen: both incarnations number
+// their ends from 1. A heartbeat that repeats an old acknowledgement may be the first to reach the next one.
+func TestAcknowledgementDoesNotReachTheNextIncarnation(t *testing.T) {
+	const address = "address-of-w1"
+	h := newHarness(t)
+	h.fleet.OmitIncarnation = true
+	first := h.addWorker("w1", 20*time.Millisecond)
+	o := h.startOwner(true)
+	h.submit(o, newJob("a", 4))
+	h.awaitState(o, "a", workload.Completed)
+	h.await("the ends are acknowledged", func() bool { return first.UnacknowledgedEnds() == 0 })
+	h.fleet.HoldStarts(address)
+	h.submit(o, newJob("b", 1))
+	h.await("the start is on its way", func() bool { return h.fleet.HeldStarts(address) == 1 })
+	first.SetUnresponsive(true)
+	second := h.restart("w1", 2, 20*time.Millisecond)
+	h.fleet.ReleaseStarts(address)
+	h.await("the run ends", func() bool { return len(second.Running()) == 0 && second.UnacknowledgedEnds() == 1 })
+	h.awaitState(o, "b", workload.Completed)
+	h.checkNothingRanTwice(t)
+}
+
+// Guards against the record of an earlier incarnation's ends that is acknowledged only after the worker's restart was
+// noticed. It must not acknowledge the ends of the next one.
+func TestLateRecordOfEndsDoesNotReachTheNextIncarnation(t *testing.T) {
+	h := newHarness(t)
+	o := h.startOwner(true)
+	h.addWorker("w1", 0)
+	h.await("the session is established", func() (established bool) {
+		h.inLoop(o, func() { established = o.workers["w1"] != nil && o.workers["w1"].sessionEstablished })
+		return established
+	})
+	h.inLoop(o, func() {
+		w := o.workers["w1"]
+		s := w.session
+		o.handleHeartbeat(s, workers.HeartbeatResponse{Incarnation: 1, ClockMS: 1000,
+			Ended: []workers.RunEnd{{Sequence: 9, Task: "gone.0.0.0", Run: 1, Reason: workers.Done}}}, nil, time.Now(), time.Now())
+		o.handleHeartbeat(s, workers.HeartbeatResponse{Incarnation: 2, ClockMS: 10}, nil, time.Now(), time.Now())
+	})
+	h.await("the ends are recorded", func() (recorded bool) {
+		h.inLoop(o, func() { o.afterCommit(func() { recorded = true }); o.flush() })
+		time.Sleep(50 * time.Millisecond)
+		h.inLoop(o, func() {})
+		return recorded
+	})
+	h.inLoop(o, func() {
+		if w := o.workers["w1"]; w.lastEndRecorded != 0 {
+			t.Errorf("ends up to %d of the next incarnation may be acknowledged, none was listed", w.lastEndRecorded)
+		}
+	})
+}
+
 // awaitIncarnation waits until an owner knows of an incarnation of a worker.
 func (h *harness) awaitIncarnation(o *runningOwner, id string, incarnation int64) {
 	h.t.Helper()
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -82,6 +82,7 @@
 	used               usage
 	// Sequence numbers of the last run end processed and of the last one that may be acknowledged.
 	lastEndSeen, lastEndRecorded int64
+	endsListed                   bool  // by the last heartbeat response
 	clockMS                      int64 // the worker's clock at clockAt
 	clockAt                      time.Time
 	// leaseUntil is when every run on the worker has ended unless its lease is renewed.
@@ -319,15 +320,18 @@
 		w.sessionEstablished = true
 		o.replan = true
 	}
+	w.endsListed = len(response.Ended) > 0
 	newEnds := o.processRunEnds(w, response.Ended)
 	o.reconcileRuns(w, response, sent)
 	switch {
 	case newEnds || w.lastEndSeen > w.lastEndRecorded:
-		lastEnd := w.lastEndSeen
+		lastEnd, incarnation := w.lastEndSeen, w.info.Incarnation
 		s.awaitingCommitSince = time.Now()
 		o.afterCommit(func() {
 			if w.session == s {
-				w.lastEndRecorded = max(w.lastEndRecorded, lastEnd)
+				if w.info.Incarnation == incarnation {
+					w.lastEndRecorded = max(w.lastEndRecorded, lastEnd)
+				}
 				o.resumeSession(w, w.pollTimeout())
 			}
 		})
@@ -370,9 +374,13 @@
 	}
 }
 
-// resumeSession lets a session send its next heartbeat.
+// resumeSession lets a session send its next heartbeat. It acknowledges only what the last response listed: a repeated
+// acknowledgement could reach the next incarnation, which numbers its ends anew.
 func (o *Owner) resumeSession(w *worker, pollTimeout time.Duration) {
-	request := workers.HeartbeatRequest{AcknowledgedEnds: w.lastEndRecorded, PollTimeout: pollTimeout}
+	request := workers.HeartbeatRequest{PollTimeout: pollTimeout}
+	if w.sessionEstablished && w.endsListed {
+		request.AcknowledgedEnds = w.lastEndRecorded
+	}
 	if w.sessionEstablished && o.leading() {
 		request.LeaseUntilMS = o.extendLease(w)
 	}
