Place a lost run again when its worker lists it

Seen: a start that was given up when the worker's lease expired was carried out by the worker's next incarnation, and the task was started once more beside it or after it had ended `done`. Cause: an end of a run that was not placed was acknowledged without effect, and a run that was not placed was stopped while its task was free to be started again. Evidence: before, TestRunCountedAsLostIsFound fails: 'run 2 of a.0.0.0 was started on w1 after run 1 had ended done on w1, an end that was acknowledged' (done), '2 runs, want 1' (running). Change: a run that its worker lists as running or as done is placed there again if it is the latest of a task that still waits, in an active job. A member of a gang is also stopped, since the others wait to start with it; the gang is placed as a whole only after that. Why it works: the task does not wait any more, so no round of placement starts it, and its end takes the usual way. An end `failed` of such a run is still not counted: the record does not tell whether an earlier owner has counted it.

--- a/internal/owner/reborn_test.go
+++ b/internal/owner/reborn_test.go
@@ -106,6 +106,36 @@
 	}
 }
 
+// Guards against starting a task again although a run that was counted as lost goes on, or has ended done: a start that
+// was given up when the worker's lease expired is carried out by its next incarnation.
+func TestRunCountedAsLostIsFound(t *testing.T) {
+	const address = "address-of-w1"
+	for name, runTime := range map[string]time.Duration{"done": 20 * time.Millisecond, "running": 1500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			first := h.addWorker("w1", runTime)
+			o := h.startOwner(true)
+			h.await("the worker is known", func() bool { return first.Fence() > 0 })
+			h.fleet.HoldStarts(address)
+			h.submit(o, newJob("a", 1))
+			h.await("the start is on its way", func() bool { return h.fleet.HeldStarts(address) == 1 })
+			first.SetUnresponsive(true)
+			h.await("the run is lost", func() (lost bool) {
+				h.inLoop(o, func() { lost = len(o.workers["w1"].runs) == 0 })
+				return lost
+			})
+			h.restart("w1", 2, runTime)
+			h.fleet.ReleaseStarts(address)
+			h.awaitState(o, "a", workload.Completed)
+			h.checkNothingRanTwice(t)
+			if n := len(h.startsOf("a.0.0.0")); n != 1 {
+				t.Errorf("%d runs, want 1", n)
+			}
+		})
+	}
+}
+
 // Guards against acknowledging ends of a worker's next incarnation that the owner has not seen: both incarnations number
 // their ends from 1. A heartbeat that repeats an old acknowledgement may be the first to reach the next one.
 func TestAcknowledgementDoesNotReachTheNextIncarnation(t *testing.T) {
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -84,6 +84,24 @@
 	})
 }
 
+// resumeRun places a run again that counted as lost, because its worker lists it. It returns nil if the task has gone on
+// without it.
+func (o *Owner) resumeRun(w *worker, taskName string, run int) *placement {
+	id, ref, err := workload.ParseTaskName(taskName)
+	j := o.jobs[id]
+	if err != nil || j == nil || j.spec == nil ||
+		!j.progress.Resume(j.spec, ref, run, w.info.ID, w.info.Incarnation) {
+		return nil
+	}
+	o.log.Info("lost run found", "task", taskName, "run", run, "worker", w.info.ID)
+	now := time.Now()
+	p := &placement{job: j, ref: ref, taskName: taskName, run: run, startSent: true, seenOn: w.info.Incarnation,
+		requestedAt: now, confirmedAt: now}
+	o.reserve(w, p)
+	o.markDirty(j)
+	return p
+}
+
 // startRun places a task on a worker and sends the start request once the placement is recorded.
 func (o *Owner) startRun(j *job, ref workload.TaskRef, run int, w *worker, ticket string) {
 	if !j.progress.Begun {
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -418,7 +418,11 @@
 		}
 		w.lastEndSeen = end.Sequence
 		newEnds = true
-		if p := w.runs[end.Task]; p != nil && p.run == end.Run {
+		p := w.runs[end.Task]
+		if p == nil && end.Reason == workers.Done {
+			p = o.resumeRun(w, end.Task, end.Run)
+		}
+		if p != nil && p.run == end.Run {
 			o.endRun(w, p, end)
 		}
 	}
@@ -431,6 +435,11 @@
 	for _, run := range response.Running {
 		running[run.Task] = run.Number
 		p := w.runs[run.Task]
+		if p == nil {
+			if p = o.resumeRun(w, run.Task, run.Number); p != nil && p.step().Gang {
+				p.stopping = true // the others of its gang wait to start again with it
+			}
+		}
 		if p == nil || p.run != run.Number {
 			o.stopUnknownRun(w, run)
 			continue
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -244,6 +244,17 @@
 	return nil
 }
 
+// Resume records that the latest run of a waiting task is on a worker after all, although it counted as lost. It reports
+// false, and changes nothing, if the task does not wait or has a later run.
+func (p *Progress) Resume(j *Job, r TaskRef, run int, worker string, incarnation int64) bool {
+	t := p.Task(r)
+	if p.State != Active || t == nil || t.Phase != Waiting || t.Run != run || p.NextRun(j, r) != run+1 {
+		return false
+	}
+	t.Phase, t.Worker, t.Incarnation = Placed, worker, incarnation
+	return true
+}
+
 // Evict records the decision to stop the run of a placed task and reports whether it was made now.
 func (p *Progress) Evict(r TaskRef) bool {
 	t := p.Task(r)
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -346,3 +346,48 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a lost run that is placed again although its task has gone on: with a later run, of any member of its
+// gang, or as a part of a finished or cancelled job.
+func TestResumeOnlyTheLatestRunOfAWaitingTask(t *testing.T) {
+	first, second := TaskRef{}, TaskRef{Index: 1}
+	for name, c := range map[string]struct {
+		gang    bool
+		prepare func(j *Job, p *Progress) error
+		want    bool
+	}{
+		"waiting":      {prepare: func(*Job, *Progress) error { return nil }, want: true},
+		"placed again": {prepare: func(_ *Job, p *Progress) error { return p.Place(first, 2, "w", 1) }},
+		"later run ended": {prepare: func(j *Job, p *Progress) error {
+			err := p.Place(first, 2, "w", 1)
+			p.EndRun(j, first, 2, Interrupted, "", 9)
+			return err
+		}},
+		"other task placed":        {prepare: func(_ *Job, p *Progress) error { return p.Place(second, 2, "w", 1) }, want: true},
+		"other gang member placed": {gang: true, prepare: func(_ *Job, p *Progress) error { return p.Place(second, 2, "w", 1) }},
+		"gang waiting":             {gang: true, prepare: func(*Job, *Progress) error { return nil }, want: true},
+		"done": {prepare: func(j *Job, p *Progress) error {
+			err := p.Place(first, 2, "w", 1)
+			p.EndRun(j, first, 2, Succeeded, "", 9)
+			return err
+		}},
+		"cancelled": {prepare: func(_ *Job, p *Progress) error { p.Cancel(); return nil }},
+	} {
+		j := &Job{ID: "0123456789abcdef", Queue: "q", Steps: []Step{{Count: 2, Gang: c.gang}}}
+		p := NewProgress(j)
+		p.CreateDue(j, 0)
+		if err := p.Place(first, 1, "w", 1); err != nil {
+			t.Fatal(err)
+		}
+		p.EndRun(j, first, 1, Interrupted, "", 9)
+		if err := c.prepare(j, p); err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if got := p.Resume(j, first, 1, "w", 2); got != c.want {
+			t.Errorf("%s: resumed %v, want %v", name, got, c.want)
+		}
+		if task := p.Task(first); c.want && (task.Phase != Placed || task.Incarnation != 2) {
+			t.Errorf("%s: %+v", name, task)
+		}
+	}
+}
