--- a/internal/owner/reborn_test.go
+++ b/internal/owner/reborn_test.go
@@ -106,6 +106,34 @@
 	}
 }
 
+// Guards against a start of an earlier owner that reaches the worker's next incarnation before the present owner does.
+func TestStartOfEarlierOwnerReachesTheNextIncarnation(t *testing.T) {
+	const address = "address-of-w1"
+	for name, runTime := range map[string]time.Duration{"done": 20 * time.Millisecond, "running": 1500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			h.addWorker("w1", runTime)
+			h.fleet.HoldStarts(address)
+			o := h.startOwner(true)
+			h.submit(o, newJob("a", 1))
+			h.await("the start is on its way", func() bool { return h.fleet.HeldStarts(address) == 1 })
+			o.stop()
+			o = h.newOwner(true)
+			second := h.restart("w1", 2, runTime)
+			h.publishRestart("w1", 2)
+			h.fleet.ReleaseStarts(address)
+			h.await("the run has begun", func() bool { return len(second.Running()) == 1 || second.UnacknowledgedEnds() == 1 })
+			o.start()
+			h.awaitState(o, "a", workload.Completed)
+			h.checkNothingRanTwice(t)
+			if n := len(h.startsOf("a.0.0.0")); n != 1 {
+				t.Errorf("%d runs, want 1", n)
+			}
+		})
+	}
+}
+
 // Guards against starting a task again although a run that was counted as lost goes on, or has ended done: a start that
 // was given up when the worker's lease expired is carried out by its next incarnation.
 func TestRunCountedAsLostIsFound(t *testing.T) {
