--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -51,7 +51,12 @@
 	taskName string
 	run      int
 	// confirmedAt is when the worker confirmed the start, or first reported the run; zero until then.
-	confirmedAt  time.Time
+	confirmedAt time.Time
+	// seenOn is the incarnation known to have the run; 0 until a reply or a list of the worker shows it.
+	seenOn    int64
+	startSent bool // by this owner
+	restarted bool // the worker restarted while the start may have been on its way
+
 	adopted      bool // placed by an earlier owner
 	reported     bool // listed as running in a heartbeat response
 	speedPercent int
@@ -77,6 +82,7 @@
 	used               usage
 	// Sequence numbers of the last run end processed and of the last one that may be acknowledged.
 	lastEndSeen, lastEndRecorded int64
+	endsListed                   bool  // by the last heartbeat response
 	clockMS                      int64 // the worker's clock at clockAt
 	clockAt                      time.Time
 	// leaseUntil is when every run on the worker has ended unless its lease is renewed.
@@ -219,18 +225,42 @@
 	}
 }
 
-// resetIncarnation discards the state of a worker's earlier incarnation.
+// resetIncarnation discards the state of a worker's earlier incarnation. Runs whose start may have reached the new one,
+// or may still reach it, stay placed until its replies and lists show where they are.
 func (o *Owner) resetIncarnation(w *worker, incarnation int64) {
 	w.info.Incarnation = incarnation
+	o.extendLeaseBound(w)
 	for _, p := range w.placements() {
-		if t := p.job.progress.Task(p.ref); t != nil && t.Incarnation != incarnation {
+		t := p.job.progress.Task(p.ref)
+		switch {
+		case t == nil || t.Incarnation == incarnation:
+		case p.seenOn != 0 && p.seenOn != incarnation:
 			o.loseRun(w, p, workload.Interrupted, "worker restarted")
+		case !p.startSent && !p.adopted:
+			o.loseRun(w, p, workload.NeverStarted, "worker restarted")
+		default:
+			p.restarted = true
+			if !p.stoppedAt.IsZero() {
+				p.stoppedAt, p.stopSent = time.Time{}, false
+			}
 		}
 	}
 	w.lastEndSeen, w.lastEndRecorded, w.clockMS, w.sessionEstablished = 0, 0, 0, false
 	w.health = health{}
 }
 
+// extendLeaseBound provides for leases that were requested of a worker's earlier incarnation and reach the next one. Its
+// clock starts anew, so that it shortens them only to the longest lease it accepts.
+func (o *Owner) extendLeaseBound(w *worker) {
+	if w.clockMS == 0 && len(w.runs) == 0 {
+		return // none was requested
+	}
+	w.leaseUntil = latest(w.leaseUntil, time.Now().Add(leaseExpiryBound(o.cfg.Timing.MaxLease)))
+	if w.lossRecorded {
+		o.recordLoss(w)
+	}
+}
+
 // endOlderIncarnations ends the runs of earlier workers on the same instance, which runs one worker at a time.
 func (o *Owner) endOlderIncarnations(w *worker) {
 	for _, other := range o.workerIndex.byInstance[w.info.Instance] {
@@ -319,15 +349,18 @@
 		w.sessionEstablished = true
 		o.replan = true
 	}
+	w.endsListed = len(response.Ended) > 0
 	newEnds := o.processRunEnds(w, response.Ended)
 	o.reconcileRuns(w, response, sent)
 	switch {
 	case newEnds || w.lastEndSeen > w.lastEndRecorded:
-		lastEnd := w.lastEndSeen
+		lastEnd, incarnation := w.lastEndSeen, w.info.Incarnation
 		s.awaitingCommitSince = time.Now()
 		o.afterCommit(func() {
 			if w.session == s {
-				w.lastEndRecorded = max(w.lastEndRecorded, lastEnd)
+				if w.info.Incarnation == incarnation {
+					w.lastEndRecorded = max(w.lastEndRecorded, lastEnd)
+				}
 				o.resumeSession(w, w.pollTimeout())
 			}
 		})
@@ -370,9 +403,13 @@
 	}
 }
 
-// resumeSession lets a session send its next heartbeat.
+// resumeSession lets a session send its next heartbeat. It acknowledges only what the last response listed: a repeated
+// acknowledgement could reach the next incarnation, which numbers its ends anew.
 func (o *Owner) resumeSession(w *worker, pollTimeout time.Duration) {
-	request := workers.HeartbeatRequest{AcknowledgedEnds: w.lastEndRecorded, PollTimeout: pollTimeout}
+	request := workers.HeartbeatRequest{PollTimeout: pollTimeout}
+	if w.sessionEstablished && w.endsListed {
+		request.AcknowledgedEnds = w.lastEndRecorded
+	}
 	if w.sessionEstablished && o.leading() {
 		request.LeaseUntilMS = o.extendLease(w)
 	}
@@ -410,7 +447,11 @@
 		}
 		w.lastEndSeen = end.Sequence
 		newEnds = true
-		if p := w.runs[end.Task]; p != nil && p.run == end.Run {
+		p := w.runs[end.Task]
+		if p == nil && end.Reason == workers.Done {
+			p = o.resumeRun(w, end.Task, end.Run)
+		}
+		if p != nil && p.run == end.Run {
 			o.endRun(w, p, end)
 		}
 	}
@@ -423,11 +464,16 @@
 	for _, run := range response.Running {
 		running[run.Task] = run.Number
 		p := w.runs[run.Task]
+		if p == nil {
+			if p = o.resumeRun(w, run.Task, run.Number); p != nil && p.step().Gang {
+				p.stopping = true // the others of its gang wait to start again with it
+			}
+		}
 		if p == nil || p.run != run.Number {
 			o.stopUnknownRun(w, run)
 			continue
 		}
-		p.reported = true
+		p.reported, p.seenOn = true, w.info.Incarnation
 		p.speedPercent = run.SpeedPercent
 		if t := p.job.progress.Task(p.ref); t != nil && run.Checkpoint != "" {
 			t.Checkpoint = run.Checkpoint
@@ -443,6 +489,9 @@
 		if n, ok := running[p.taskName]; ok && n == p.run {
 			continue
 		}
+		if p.stopping && !p.stopSent {
+			o.stopRun(w, p)
+		}
 		// Since its first heartbeat the worker rejects requests of earlier owners, so an adopted run it omits cannot start.
 		absent := p.adopted ||
 			!p.stoppedAt.IsZero() && sent.After(p.stoppedAt.Add(o.cfg.Timing.StopTime)) ||
@@ -450,7 +499,7 @@
 		if absent && len(response.Ended) < maxReportedEnds {
 			// A worker lists a started run until its end is acknowledged, which happens only after the end is recorded.
 			result := workload.NeverStarted
-			if !p.confirmedAt.IsZero() {
+			if !p.confirmedAt.IsZero() || p.restarted {
 				result = workload.Interrupted
 			}
 			o.loseRun(w, p, result, "not reported by the worker")
