Let an owner yield its term to another instance

Seen by callers: none by itself. An owner that can renew its record but cannot recover had no way to give up: if its term ended, it could win the next one at once. Change: Serve may end a term with leader.ErrYield. The record is released, and the instance leaves the ownership to others for 2 s: they read the release, wait for stronger ones, read again and write, with up to 0.5 s a call in a slow store. Without another owner it campaigns again; its next term says how many it yielded in a row. A released record says whether the owner before the yielded term may still renew leases, so that the successor does not take it for ended. Tests: TestYieldedTermGoesToAnotherInstance fails without the 2 s ('not within 20s: the weak instance serves') and, like TestYieldingInstanceServesIfItIsAlone, without the note on the predecessor ('PredecessorEnded is true although the owner before the yielded term may renew leases'). Ruled out: the pause of a poll (0.5 s) alone; it suffices only while the calls of the others are fast.

--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -15,8 +15,8 @@
 func (e *Elector) campaign(ctx context.Context) {
 	sent := BootTime()
 	predecessor, known := e.lastOwner()
-	predecessorEnded := !known || predecessor.Released || predecessor.Fence == e.endedFence.Load() ||
-		predecessor.Name == e.Self.Name
+	predecessorEnded := !known || !predecessor.PredecessorMayRenew && (predecessor.Released ||
+		predecessor.Fence == e.endedFence.Load() || predecessor.Name == e.Self.Name)
 	o := e.Self
 	o.Fence = e.nextOffset + 1
 	if err := e.write(ctx, o); err != nil {
@@ -28,6 +28,7 @@
 	}
 	e.setOwner(o)
 	term := NewTerm(o.Fence, predecessorEnded)
+	term.Yields = e.recentYields()
 	term.renewedAt.Store(int64(sent))
 	termCtx, cancel := context.WithCancel(ctx)
 	e.setEndTerm(cancel)
@@ -43,9 +44,17 @@
 	cancel()
 	<-renewalDone
 	e.Log.Info("term as owner ended", "fence", o.Fence, "err", err)
+	e.yields = 0
+	if errors.Is(err, ErrYield) {
+		e.yields = term.Yields + 1
+		o.PredecessorMayRenew = !predecessorEnded
+	}
 	if owner, ok := e.Current(); ok && owner.Fence == o.Fence {
 		e.release(o)
 	}
+	if e.yields > 0 {
+		e.yieldedAt = time.Now()
+	}
 	e.lastSeen = time.Now()
 }
 
@@ -91,7 +100,7 @@
 		err := e.write(context.WithoutCancel(ctx), o)
 		if err == nil {
 			term.renewedAt.Store(int64(sent))
-			term.renewalFailing.Store(false)
+			term.SetRenewalFailing(false)
 			pause = renewInterval
 			continue
 		}
@@ -100,7 +109,7 @@
 			return
 		}
 		if ctx.Err() == nil {
-			term.renewalFailing.Store(true)
+			term.SetRenewalFailing(true)
 			e.Log.Warn("owner record renewal failed", "age_ms", term.Age().Milliseconds(), "err", err)
 		}
 		pause = retryInterval
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -45,8 +45,17 @@
 	// maxEarlyFactor is the highest campaign delay factor of an instance that acts on a cut or silent owner. A weaker one could
 	// win although a strong one exists that has not learned of it; at the record's expiry all of them campaign.
 	maxEarlyFactor = 0.5
+	// yieldTime is how long an instance that yielded a term leaves the ownership to others: they read the release, wait for
+	// stronger ones, read again and write their record, with up to 500 ms a call in a slow store.
+	yieldTime = 2 * time.Second
+	// yieldMemory is how long a yielded term counts as one in a row with the next.
+	yieldMemory = time.Minute
 )
 
+// ErrYield is the error with which Serve ends a term for the benefit of other instances. They campaign first; without
+// another owner this instance goes on.
+const ErrYield = errors.ConstError("the term is yielded to another instance")
+
 const (
 	ownerTopic topic.Name = "keyed.owner"
 	ownerKey   string     = "owner"
@@ -57,7 +66,7 @@
 	Store topic.Store
 	Self  Owner
 	Log   hclog.Logger
-	// Serve runs the owner until its context ends or it detects that it was replaced.
+	// Serve runs the owner until its context ends, it detects that it was replaced, or it yields the term (ErrYield).
 	Serve func(ctx context.Context, term *Term) error
 	// Eligible reports whether this instance may become the owner now.
 	Eligible func() bool
@@ -82,6 +91,8 @@
 	endedFence     atomic.Int64 // fence of an owner whose process has certainly ended
 	cutFence       atomic.Int64 // fence of an owner that says that it cannot renew its record
 	silentFence    atomic.Int64 // fence of an owner that does not answer on its connection
+	yieldedAt      time.Time
+	yields         int // terms in a row that this instance yielded
 }
 
 // Current returns the owner as last read from the store. It returns false if none is known or it released its record.
@@ -270,7 +281,20 @@
 	}
 }
 
-func (e *Elector) mayCampaign() bool { return !e.hasResigned() && e.canTakeOver() && e.Eligible() }
+func (e *Elector) mayCampaign() bool {
+	return !e.hasResigned() && !e.isYielding() && e.canTakeOver() && e.Eligible()
+}
+
+// isYielding reports whether other instances may campaign before this one.
+func (e *Elector) isYielding() bool { return e.yields > 0 && time.Since(e.yieldedAt) < yieldTime }
+
+// recentYields returns how many terms in a row this instance yielded up to now.
+func (e *Elector) recentYields() int {
+	if time.Since(e.yieldedAt) > yieldMemory {
+		return 0
+	}
+	return e.yields
+}
 
 // waitForStronger delays the campaign in favour of stronger instances and reports whether it may still begin.
 func (e *Elector) waitForStronger(ctx context.Context) bool {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/pollenford/pollenford/internal/topic"
 	"github.com/pollenford/pollenford/internal/topic/topictest"
+	"github.com/pollenford/pollenford/internal/wait"
 )
 
 const testTimeout = 20 * time.Second
@@ -23,6 +24,9 @@
 	stop             context.CancelFunc
 	serving          atomic.Int64 // the fence of the term, 0 without one
 	predecessorEnded atomic.Bool
+	terms            atomic.Int64
+	yields           atomic.Int64 // of the term
+	yield            atomic.Bool  // makes the term end with ErrYield
 }
 
 func join(t *testing.T, store topic.Store, name string) *candidate {
@@ -37,7 +41,13 @@
 		Self: Owner{Name: name, Incarnation: name + "-1", Address: name}, CampaignDelayFactor: delayFactor,
 		Serve: func(ctx context.Context, term *Term) error {
 			c.predecessorEnded.Store(term.PredecessorEnded)
+			c.terms.Add(1)
+			c.yields.Store(int64(term.Yields))
 			c.serving.Store(term.Fence)
+			if c.yield.Load() {
+				c.serving.Store(0)
+				return errors.Annotate(ErrYield, "too slow")
+			}
 			<-ctx.Done()
 			c.serving.Store(0)
 			return ctx.Err()
@@ -556,3 +566,73 @@
 		t.Errorf("a serves %d, b serves %d, want a to stay with %d", a.serving.Load(), b.serving.Load(), fence)
 	}
 }
+
+// slowStore answers every read and append late.
+type slowStore struct {
+	topic.Store
+	callTime time.Duration
+}
+
+func (s *slowStore) Append(ctx context.Context, name topic.Name, batch topic.Batch) (int64, int64, error) {
+	if !wait.For(ctx, s.callTime) {
+		return 0, 0, ctx.Err()
+	}
+	return s.Store.Append(ctx, name, batch)
+}
+
+func (s *slowStore) Read(ctx context.Context, name topic.Name, from int64, pollTime time.Duration) (topic.ReadResult, error) {
+	result, err := s.Store.Read(ctx, name, from, pollTime)
+	if !wait.For(ctx, s.callTime) {
+		return topic.ReadResult{}, ctx.Err()
+	}
+	return result, err
+}
+
+// Guards against an owner that cannot recover: another instance becomes the owner after a yielded term, even one that defers
+// to stronger ones and whose calls to the store are slow, and does not take the predecessor of that term for ended.
+func TestYieldedTermGoesToAnotherInstance(t *testing.T) {
+	store := &topictest.Store{}
+	dead := Owner{Name: "dead", Incarnation: "x", Address: "x", Fence: 1}
+	if err := (&Elector{Store: store, Log: hclog.NewNullLogger()}).write(t.Context(), dead); err != nil {
+		t.Fatal(err)
+	}
+	strong := join(t, store, "strong")
+	weak := joinAs(t, &slowStore{Store: store, callTime: 400 * time.Millisecond}, "weak", 1)
+	strong.yield.Store(true)
+	await(t, "the weak instance serves", func() bool { return weak.serving.Load() > 0 })
+	fence := weak.serving.Load()
+	if n := strong.terms.Load(); n != 1 {
+		t.Errorf("the instance that yielded was elected %d times, want once", n)
+	}
+	if weak.predecessorEnded.Load() {
+		t.Error("PredecessorEnded is true although the owner before the yielded term may renew leases")
+	}
+	time.Sleep(2 * yieldTime)
+	if weak.serving.Load() != fence {
+		t.Error("the successor of a yielded term was replaced")
+	}
+	if owner := lastRecord(t, store); owner.Fence != fence || owner.PredecessorMayRenew {
+		t.Errorf("the record is %+v, want fence %d", owner, fence)
+	}
+}
+
+// Guards the service if no other instance can take over: the one that yielded becomes the owner again, knows how many terms
+// it yielded, and no other owner is known to have ended meanwhile.
+func TestYieldingInstanceServesIfItIsAlone(t *testing.T) {
+	store := &topictest.Store{}
+	dead := Owner{Name: "dead", Incarnation: "x", Address: "x", Fence: 1}
+	if err := (&Elector{Store: store, Log: hclog.NewNullLogger()}).write(t.Context(), dead); err != nil {
+		t.Fatal(err)
+	}
+	a := join(t, store, "a")
+	a.yield.Store(true)
+	await(t, "a has yielded twice", func() bool { return a.yields.Load() == 1 })
+	a.yield.Store(false)
+	await(t, "a serves", func() bool { return a.serving.Load() > 0 })
+	if n := a.yields.Load(); n != 2 {
+		t.Errorf("the term began after %d yields, want 2", n)
+	}
+	if a.predecessorEnded.Load() {
+		t.Error("PredecessorEnded is true although the owner before the yielded terms may renew leases")
+	}
+}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -16,6 +16,9 @@
 	// Fence increases with every change of owner.
 	Fence    int64 `cbor:"4,keyasint"`
 	Released bool  `cbor:"5,keyasint,omitempty"`
+	// PredecessorMayRenew reports, in a released record, that the term was yielded and that the owner before it may still
+	// renew leases.
+	PredecessorMayRenew bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Term is one continuous period of ownership.
@@ -24,6 +27,8 @@
 	// PredecessorEnded reports whether the previous owner certainly no longer renews its record: it released the record,
 	// its process ended, or there was no previous owner.
 	PredecessorEnded bool
+	// Yields is the number of terms in a row that this instance yielded before.
+	Yields int
 	// renewedAt is the boot-time clock in nanoseconds at which the last successful renewal was sent.
 	renewedAt atomic.Int64
 	// renewalFailing reports whether the latest renewal failed.
@@ -56,6 +61,9 @@
 // instance alone.
 func (t *Term) RenewalFailing() bool { return t.renewalFailing.Load() }
 
+// SetRenewalFailing sets what RenewalFailing reports.
+func (t *Term) SetRenewalFailing(failing bool) { t.renewalFailing.Store(failing) }
+
 // Age returns the time since the owner last knew that it had not been replaced, including time in suspension.
 func (t *Term) Age() time.Duration { return BootTime() - time.Duration(t.renewedAt.Load()) }
 
