Bound a recovery by its pages and its progress

Cause: Recover read all pages of keyed.jobs within one limit of 800 ms and began anew when that had passed. 1.3 MB of records are 1.8 MB on the link, 1.4 s, so no attempt ended. Change: each page is a call of its own, and pages that arrived are kept (no earlier owner can append after the fence). A patient attempt of 3 s is accompanied by short ones, which find a store that is back after an outage; after a slow page they begin later, because they take a share of the link. A recovery that falls 4 s behind the thinnest link (10 Mbit/s) and a slow store (0.5 s a call) yields its term; after each term that it yields in a row the limits double, so that an instance recovers if nobody else can. Time in which the record is not renewed either does not count: an outage for all ends no term. The check for pauses of the event loop runs during the recovery as well, because a call may now outlast a pause. Progress: recovery_pages, recovery_bytes, recovery_records, recoveries_yielded; 'owner recovering', 'recovery too slow: term yielded'.

--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -123,6 +123,15 @@
 
 // newOwner returns the next owner, which has recovered but processes no events yet.
 func (h *harness) newOwner(predecessorEnded bool) *runningOwner {
+	r := h.unrecoveredOwner(predecessorEnded)
+	if err := r.Recover(); err != nil {
+		h.t.Fatal(err)
+	}
+	return r
+}
+
+// unrecoveredOwner returns the next owner, which renews its record but has not recovered.
+func (h *harness) unrecoveredOwner(predecessorEnded bool) *runningOwner {
 	h.fence++
 	ctx, cancel := context.WithCancel(context.Background())
 	log := hclog.New(&hclog.LoggerOptions{Output: testWriter{h.t}, Level: hclog.Debug})
@@ -131,17 +140,7 @@
 	}
 	r := &runningOwner{cancelTerm: cancel, done: make(chan error, 1)}
 	r.term = leader.NewTerm(h.fence, predecessorEnded)
-	r.Owner = New(ctx, Config{
-		Store: h.ownerStore, Workers: h.fleet, Control: h.control, Advice: h.advice, Codec: codec{}, Catalog: h.catalog.Load,
-		OnCatalog: func(*catalog.Catalog) {}, Name: fmt.Sprint("owner-", h.fence),
-		MaxRecordBytes: 64 << 10, MaxAppendBytes: 1 << 20, Scope: h.scope,
-		Timing: Timing{MaxLease: 10 * time.Second, StopTime: 50 * time.Millisecond, StatusRetention: time.Minute,
-			MaintenanceTime: 200 * time.Millisecond},
-		Log: log,
-	}, r.term)
-	if err := r.Recover(); err != nil {
-		h.t.Fatal(err)
-	}
+	r.Owner = New(ctx, h.config(log), r.term)
 	renew := func() {
 		for wait.For(ctx, 50*time.Millisecond) {
 			if !r.noRenewals.Load() {
@@ -154,6 +153,18 @@
 	return r
 }
 
+// config returns the configuration of the next owner.
+func (h *harness) config(log hclog.Logger) Config {
+	return Config{
+		Store: h.ownerStore, Workers: h.fleet, Control: h.control, Advice: h.advice, Codec: codec{}, Catalog: h.catalog.Load,
+		OnCatalog: func(*catalog.Catalog) {}, Name: fmt.Sprint("owner-", h.fence),
+		MaxRecordBytes: 64 << 10, MaxAppendBytes: 1 << 20, Scope: h.scope,
+		Timing: Timing{MaxLease: 10 * time.Second, StopTime: 50 * time.Millisecond, StatusRetention: time.Minute,
+			MaintenanceTime: 200 * time.Millisecond},
+		Log: log,
+	}
+}
+
 // start begins to process events.
 func (r *runningOwner) start() {
 	go func() { r.done <- r.Run() }()
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -15,6 +15,9 @@
 	ended                                    map[string]tally.Counter // jobs by state
 	appendLatency, recovery, firstStartDelay tally.Histogram
 	active, workers                          tally.Gauge
+	// Progress of recoveries; recoveryRecords is that of the last one.
+	recoveryPages, recoveryBytes, recoveriesYielded tally.Counter
+	recoveryRecords                                 tally.Gauge
 }
 
 // durationBuckets are the upper bounds of histograms: 1 ms to 16 s.
@@ -31,6 +34,8 @@
 		recovery:        scope.Histogram("recovery", durationBuckets),
 		firstStartDelay: scope.Histogram("first_start", durationBuckets),
 		active:          scope.Gauge("jobs_active"), workers: scope.Gauge("workers_held"),
+		recoveryPages: scope.Counter("recovery_pages"), recoveryBytes: scope.Counter("recovery_bytes"),
+		recoveriesYielded: scope.Counter("recoveries_yielded"), recoveryRecords: scope.Gauge("recovery_records"),
 		ended: map[string]tally.Counter{},
 	}
 	for _, state := range []string{"completed", "failed", "cancelled"} {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -121,6 +121,7 @@
 	// hold back room for them.
 	blockedEvictions []*placement
 	tickets          map[stepKey]*tickets
+	recoveryLimits   recoveryLimits
 	metrics          metrics
 	loggedOffsets    map[string]int64 // offset + 1 of unreadable records already logged, by topic and key
 }
@@ -163,6 +164,7 @@
 		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{},
 		usage: map[string]catalog.Resources{}, recoveredAt: time.Now(), loggedOffsets: map[string]int64{},
 		metrics: newMetrics(cfg.Scope), tickets: map[stepKey]*tickets{}, demands: map[string]*pool.Demand{},
+		recoveryLimits: defaultRecoveryLimits,
 	}
 	o.ctx, o.cancel = context.WithCancelCause(ctx)
 	o.fleet.init()
@@ -171,37 +173,6 @@
 	return o
 }
 
-// Recover fences earlier owners and loads the state that they recorded.
-func (o *Owner) Recover() error {
-	began := time.Now()
-	if err := o.fence(); err != nil {
-		return err
-	}
-	var records []topic.Record
-	err := o.retryStore("read jobs", func(ctx context.Context) (err error) {
-		records, _, err = topic.ReadSnapshot(ctx, o.cfg.Store, jobsTopic)
-		return err
-	})
-	if err != nil {
-		return err
-	}
-	o.recoveredAt = time.Now()
-	o.lastTurn = leader.BootTime() // a pause during a call to the store ends the call
-	o.loadRecords(records)
-	o.metrics.recovery.RecordDuration(time.Since(began))
-	o.log.Info("owner recovered", "records", len(records), "active_jobs", len(o.active),
-		"ms", time.Since(began).Milliseconds())
-	return nil
-}
-
-// fence raises the producer's epoch, after which the store rejects the appends of earlier owners.
-func (o *Owner) fence() error {
-	return o.retryStore("fence earlier owners", func(ctx context.Context) error {
-		_, _, err := o.cfg.Store.Append(ctx, jobsTopic, topic.Batch{Producer: o.producer()})
-		return err
-	})
-}
-
 func (o *Owner) producer() *topic.Producer {
 	return &topic.Producer{Name: "owner", Epoch: o.term.Fence, Sequence: o.commit.sequence}
 }
--- a/internal/topic/topictest/store.go
+++ b/internal/topic/topictest/store.go
@@ -2,6 +2,7 @@
 package topictest
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -24,6 +25,9 @@
 
 // Store is an in-memory log store. The zero value is ready for use.
 type Store struct {
+	// PageRecords is the number of records in a page of a snapshot, defaultPageRecords if 0.
+	PageRecords int
+
 	mu     sync.Mutex
 	topics map[topic.Name]*partition // protected by mu
 	faults Faults                    // protected by mu
@@ -217,8 +221,8 @@
 	}
 }
 
-// pageSize is small to make tests read several pages.
-const pageSize = 20
+// defaultPageRecords is small to make tests read several pages.
+const defaultPageRecords = 20
 
 // SnapshotPage implements topic.Store.
 func (s *Store) SnapshotPage(ctx context.Context, name topic.Name, after string) ([]topic.Record, string, int64, error) {
@@ -235,6 +239,7 @@
 		}
 	}
 	slices.Sort(keys)
+	pageSize := cmp.Or(s.PageRecords, defaultPageRecords)
 	more := len(keys) > pageSize
 	if more {
 		keys = keys[:pageSize]
