Bound an append by its size

Until an append ends, nothing else is recorded, and new jobs are rejected ('the store does not answer'). Cause: each attempt had 0.8 s, whatever its size, and up to three overlapping attempts shared the link. An append of up to 2 MB takes 1.6 s on a link of 10 Mbit/s, so no attempt ended. Change: the limit of an attempt, the time before the next begins beside it and the time between later ones grow by what a link of 10 Mbit/s needs for the batch. Small appends keep their limits within some milliseconds. Test: TestAppendTakesAsLongAsTheLinkNeeds, 2 MB on 10 Mbit/s. Left: while such an append is in flight for more than 0.4 s, new jobs are still rejected as not run, with a retry time.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -170,22 +170,24 @@
 )
 
 // appendBatch appends a batch. A store that is back after an outage answers a new attempt at once, but not one that was
-// sent during the outage, so attempts overlap. The batch's sequence number makes a repeated append harmless.
+// sent during the outage, so attempts overlap. They share the link, so their limits grow with the size of the batch. The
+// batch's sequence number makes a repeated append harmless.
 func (o *Owner) appendBatch(batch topic.Batch) error {
 	ctx, stop := context.WithCancel(o.ctx)
 	defer stop()
 	results := make(chan error, maxAppendAttempts)
+	transfer := transferTime(batchSize(batch), linkBytesPerSecond)
 	inFlight := 0
 	attempt := func() {
 		inFlight++
 		go func() {
-			callCtx, stopCall := context.WithTimeout(ctx, storeTimeout)
+			callCtx, stopCall := context.WithTimeout(ctx, storeTimeout+transfer)
 			defer stopCall()
 			_, _, err := o.cfg.Store.Append(callCtx, jobsTopic, batch)
 			results <- err
 		}()
 	}
-	retry := time.NewTimer(appendRetryAfter)
+	retry := time.NewTimer(appendRetryAfter + transfer)
 	defer retry.Stop()
 	for attempt(); ; {
 		select {
@@ -205,7 +207,7 @@
 			if inFlight < maxAppendAttempts {
 				attempt()
 			}
-			retry.Reset(appendRetryInterval)
+			retry.Reset(appendRetryInterval + transfer)
 		case <-ctx.Done():
 			return context.Cause(o.ctx)
 		}
@@ -214,3 +216,10 @@
 
 // recordSize returns the size of a record in an append: 4 bytes for its length, 1 for the key's length, key and value.
 func recordSize(r topic.Record) int { return 4 + 1 + len(r.Key) + len(r.Value) }
+
+func batchSize(batch topic.Batch) (n int) {
+	for _, r := range batch.Records {
+		n += recordSize(r)
+	}
+	return n
+}
