--- a/internal/topic/topic.go
+++ b/internal/topic/topic.go
@@ -80,12 +80,20 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	if err := firstUnreadable(records); err != nil {
+		return nil, 0, err
+	}
+	return records, end, nil
+}
+
+// firstUnreadable returns the error of the first record that cannot be read, or nil.
+func firstUnreadable(records []Record) error {
 	for _, r := range records {
 		if r.Err != nil {
-			return nil, 0, errors.Annotatef(r.Err, "record with key %q at offset %d", r.Key, r.Offset)
+			return errors.Annotatef(r.Err, "record with key %q at offset %d", r.Key, r.Offset)
 		}
 	}
-	return records, end, nil
+	return nil
 }
 
 // readSnapshot is ReadSnapshot, and includes records that cannot be read.
--- a/internal/topic/topictest/store.go
+++ b/internal/topic/topictest/store.go
@@ -2,6 +2,7 @@
 package topictest
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -26,6 +27,8 @@
 type Store struct {
 	// MaxRecordBytes limits key and value of a record; 0 is no limit.
 	MaxRecordBytes int
+	// PageRecords is the number of records in a page of a snapshot, defaultPageRecords if 0.
+	PageRecords int
 
 	mu     sync.Mutex
 	topics map[topic.Name]*partition // protected by mu
@@ -223,8 +226,8 @@
 	}
 }
 
-// pageSize is small to make tests read several pages.
-const pageSize = 20
+// defaultPageRecords is small to make tests read several pages.
+const defaultPageRecords = 20
 
 // SnapshotPage implements topic.Store.
 func (s *Store) SnapshotPage(ctx context.Context, name topic.Name, after string) ([]topic.Record, string, int64, error) {
@@ -241,6 +244,7 @@
 		}
 	}
 	slices.Sort(keys)
+	pageSize := cmp.Or(s.PageRecords, defaultPageRecords)
 	more := len(keys) > pageSize
 	if more {
 		keys = keys[:pageSize]
