Let a wave count only the maintenance that it ordered

Seen: with two waves that share instances, one was said to be completed although instances of it had no maintenance for it. Cause: advanceWave took any instance listed in maintenance for one whose order's response was lost. The cordon did not say which wave it was for either: a wave ordered the maintenance of an instance that another one had cordoned, and counted that one's instances as its own. Change: a cordon belongs to a wave, and another wave takes the instance only after its release. A recorded order keeps its instance for its wave across a change of owner, also before the operator's record of that wave is read. Listed maintenance is a wave's begin only if this wave has ordered it and no other has ordered or begun one of that instance; otherwise the wave repeats its order, which the instance service answers with success if it was carried out. MaxConcurrent counts an instance for the wave that took it down last. A wave also leaves an instance alone whose inherited move is unsettled. Waves are advanced by deadline, no longer in the order of a map. The fake instance service now keeps apart the maintenance of an instance for different waves: it took the second order for a repeat of the first.

--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strconv"
@@ -61,8 +62,11 @@
 	orderPending bool // an order is in flight or unanswered
 	// settledAfter is the time from which the listing reflects the last order.
 	settledAfter time.Time
-	// cordonedAt is when the instance was cordoned for a wave; zero if it is not cordoned.
-	cordonedAt time.Time
+	// cordonedAt is when the instance was cordoned for the wave cordonedFor; zero if it is not cordoned.
+	cordonedAt  time.Time
+	cordonedFor *wave
+	// maintainedFor is the wave whose maintenance this owner last found to have begun; nil if there is none.
+	maintainedFor *wave
 	// movingTo is the target pool of a move in progress.
 	movingTo   string
 	rejectedBy []string // pools that rejected the instance
@@ -214,16 +218,83 @@
 	o.fleet.callBudget.Refill(now)
 	o.resumeMoves()
 	o.blockedEvictions = nil
-	for _, w := range o.fleet.waves {
-		if w.hasSpec && !w.progress.Completed {
-			o.advanceWave(w, now)
-		}
+	o.reserveOrdered(now)
+	for _, w := range o.activeWaves() {
+		o.advanceWave(w, now)
 	}
 	o.markDueForMaintenance()
 	o.evacuate(now)
 	o.balancePools(now)
 }
 
+// activeWaves returns the waves to advance, the earliest deadline first.
+func (o *Owner) activeWaves() []*wave {
+	var active []*wave
+	for _, w := range o.fleet.waves {
+		if w.hasSpec && !w.progress.Completed {
+			active = append(active, w)
+		}
+	}
+	slices.SortFunc(active, func(a, b *wave) int {
+		return cmp.Or(a.deadline().Compare(b.deadline()), cmp.Compare(a.Number, b.Number))
+	})
+	return active
+}
+
+func (w *wave) deadline() time.Time {
+	return w.firstSeen.Add(time.Duration(w.DeadlineS * float64(time.Second)))
+}
+
+// reserveOrdered cordons the instances whose maintenance an earlier owner ordered for the wave that it ordered it for. The
+// operator's record of that wave may still have to be read.
+func (o *Owner) reserveOrdered(now time.Time) {
+	for _, w := range o.fleet.waves {
+		if w.progress.Completed {
+			continue
+		}
+		for _, id := range w.progress.Ordered {
+			if inst := o.fleet.instances[id]; inst != nil && inst.listed && inst.cordonedFor == nil {
+				inst.cordon(w, now)
+			}
+		}
+	}
+}
+
+// cordon reserves an instance for a wave: no other wave orders its maintenance meanwhile.
+func (inst *instance) cordon(w *wave, now time.Time) { inst.cordonedAt, inst.cordonedFor = now, w }
+
+func (inst *instance) uncordon() { inst.cordonedAt, inst.cordonedFor = time.Time{}, nil }
+
+// showsMaintenanceOf reports whether the listed maintenance of an instance is certainly the one that the wave has ordered.
+// It may be another wave's if that has ordered or begun one; then only the response to the wave's own order tells.
+func (o *Owner) showsMaintenanceOf(w *wave, inst *instance) bool {
+	id := inst.info.ID
+	if inst.info.State != instances.InMaintenance || !slices.Contains(w.progress.Ordered, id) {
+		return false
+	}
+	for _, other := range o.fleet.waves {
+		if other != w && (other.begun[id] || slices.Contains(other.progress.Ordered, id)) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayBeDownFor reports whether an instance whose maintenance for the wave has begun may still be down for it.
+func (inst *instance) mayBeDownFor(w *wave, now time.Time) bool {
+	if inst.maintainedFor != nil && inst.maintainedFor != w || inst.movingTo != "" {
+		return false // it was up again when the other order was sent
+	}
+	return inst.info.State == instances.InMaintenance || now.Before(inst.settledAfter)
+}
+
+// mayTakeDown reports whether a wave may order the maintenance of an instance.
+func (o *Owner) mayTakeDown(inst *instance, now time.Time) bool {
+	_, moveUnsettled := o.fleet.inheritedMoves[inst.info.ID]
+	return inst.info.State == instances.Up && now.After(inst.settledAfter) &&
+		inst.cordonedFor == nil && inst.movingTo == "" && !moveUnsettled
+}
+
 // advanceWave prepares and starts maintenance on at most MaxConcurrent instances at a time.
 func (o *Owner) advanceWave(w *wave, now time.Time) {
 	inProgress, remaining := 0, 0
@@ -233,25 +304,26 @@
 		if inst == nil || !inst.listed {
 			continue // the instance was removed
 		}
-		if !w.begun[id] && inst.info.State == instances.InMaintenance {
+		if !w.begun[id] && o.showsMaintenanceOf(w, inst) {
 			w.markBegun(id) // by an order whose response was lost
+			inst.maintainedFor = w
 			o.recordWave(w)
+			if !inst.orderPending {
+				inst.uncordon()
+			}
 		}
 		if w.begun[id] {
-			if inst.info.State == instances.InMaintenance || now.Before(inst.settledAfter) {
+			if inst.mayBeDownFor(w, now) {
 				inProgress++
 			}
 			continue
 		}
 		remaining++
 		switch {
-		case !inst.cordonedAt.IsZero() || slices.Contains(w.progress.Ordered, id):
-			if inst.cordonedAt.IsZero() {
-				inst.cordonedAt = now // maintenance ordered by an earlier owner
-			}
+		case inst.cordonedFor == w:
 			inProgress++
 			o.prepareMaintenance(w, inst, now)
-		case inst.info.State == instances.Up && now.After(inst.settledAfter) && inst.movingTo == "":
+		case o.mayTakeDown(inst, now):
 			candidates = append(candidates, inst)
 		}
 	}
@@ -260,6 +332,7 @@
 		o.log.Info("maintenance wave completed", "wave", w.Number, "ms", now.Sub(w.firstSeen).Milliseconds())
 		o.recordWave(w)
 		o.afterCommit(func() { o.publishWaveStatus(w) })
+		o.releaseInstances(w)
 		return
 	}
 	for inProgress < w.MaxConcurrent && len(candidates) > 0 {
@@ -271,12 +344,21 @@
 		}
 		inst := candidates[best]
 		candidates = append(candidates[:best], candidates[best+1:]...)
-		inst.cordonedAt = now
+		inst.cordon(w, now)
 		inProgress++
 		o.prepareMaintenance(w, inst, now)
 	}
 }
 
+// releaseInstances uncordons the instances that were removed before their maintenance; one may be listed again.
+func (o *Owner) releaseInstances(w *wave) {
+	for _, id := range w.Instances {
+		if inst := o.fleet.instances[id]; inst != nil && inst.cordonedFor == w && !inst.orderPending {
+			inst.uncordon()
+		}
+	}
+}
+
 // disruptionCost weighs the runs that maintenance would wait for or move; a long-running run counts as three.
 func (o *Owner) disruptionCost(inst *instance) int {
 	w := o.workers[inst.info.Worker]
@@ -439,7 +521,8 @@
 		o.metrics.maintenanceStarts.Inc(1)
 		o.log.Info("maintenance started", "wave", w.Number, "instance", id, "worker", inst.info.Worker)
 		w.markBegun(id)
-		inst.cordonedAt = time.Time{}
+		inst.maintainedFor = w
+		inst.uncordon()
 		inst.settledAfter = time.Now().Add(o.cfg.Timing.MaintenanceTime + 2*listInterval)
 		o.recordWave(w)
 	case errors.Is(err, instances.ErrFenced):
@@ -448,7 +531,7 @@
 		o.log.Info("maintenance order failed", "wave", w.Number, "instance", id, "reason", err)
 		w.clearOrdered(id)
 		o.recordWave(w)
-		inst.cordonedAt = time.Time{}
+		inst.uncordon()
 		inst.settledAfter = time.Now().Add(2 * listInterval)
 		if worker := o.workers[inst.info.Worker]; worker != nil {
 			worker.cordoned = false
--- a/internal/owner/fleet_test.go
+++ b/internal/owner/fleet_test.go
@@ -35,14 +35,29 @@
 	ignoreMoves   bool          // moves get no response and have no effect
 	ignoredMoves  int
 	listings      int
+	maintained    map[maintenanceOrder]bool // carried out
+	downOf        map[int64]int             // instances down for the maintenance of a wave
+	maxDownOf     map[int64]int             // highest number of instances down for the maintenance of a wave
+	loseEvery     int                       // every loseEvery-th maintenance order gets no response; 0 means none
+	received      int                       // maintenance orders
+}
+
+// maintenanceOrder identifies the maintenance of an instance for a wave.
+type maintenanceOrder struct {
+	wave     int64
+	instance string
 }
 
 func (h *harness) withControl() *fakeControl {
-	c := &fakeControl{h: h}
+	c := newControl(h)
 	h.control = c
 	return c
 }
 
+func newControl(h *harness) *fakeControl {
+	return &fakeControl{h: h, maintained: map[maintenanceOrder]bool{}, downOf: map[int64]int{}, maxDownOf: map[int64]int{}}
+}
+
 // add adds an instance to the standby pool, or to testPool with a worker on it.
 func (c *fakeControl) add(id string, standby bool) {
 	c.mu.Lock()
@@ -103,10 +118,11 @@
 }
 
 // StartMaintenance implements instances.Control.
-func (c *fakeControl) StartMaintenance(ctx context.Context, _ instances.OwnerID, instance string, _ int64) error {
-	err := c.order("upkeep "+instance, instance, testPool, instances.InMaintenance)
+func (c *fakeControl) StartMaintenance(ctx context.Context, _ instances.OwnerID, instance string, wave int64) error {
+	err := c.order("upkeep "+instance, instance, testPool, instances.InMaintenance, wave)
 	c.mu.Lock()
-	dropResponses := c.dropResponses
+	c.received++
+	dropResponses := c.dropResponses || c.loseEvery > 0 && c.received%c.loseEvery == 0
 	c.mu.Unlock()
 	if dropResponses {
 		<-ctx.Done()
@@ -121,7 +137,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	return c.order("move "+instance+" "+pool, instance, pool, instances.Moving)
+	return c.order("move "+instance+" "+pool, instance, pool, instances.Moving, 0)
 }
 
 func (c *fakeControl) ignoresMove() bool {
@@ -140,15 +156,17 @@
 	return *counter
 }
 
-func (c *fakeControl) order(order, instance, pool string, state instances.State) error {
+// order takes an instance down, for a wave unless the order is a move. A wave's order that was carried out before has no
+// effect.
+func (c *fakeControl) order(order, instance, pool string, state instances.State, wave int64) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	i := slices.IndexFunc(c.list, func(x instances.Instance) bool { return x.ID == instance })
 	if i < 0 {
 		return instances.ErrInvalidTarget
 	}
-	if slices.Contains(c.orders, order) && state == instances.InMaintenance {
-		return nil // already carried out
+	if c.maintained[maintenanceOrder{wave, instance}] {
+		return nil
 	}
 	if c.list[i].State != instances.Up {
 		return instances.ErrBusy
@@ -156,6 +174,11 @@
 	c.orders = append(c.orders, order)
 	c.down++
 	c.maxDown = max(c.maxDown, c.down)
+	if state == instances.InMaintenance {
+		c.maintained[maintenanceOrder{wave, instance}] = true
+	}
+	c.downOf[wave]++
+	c.maxDownOf[wave] = max(c.maxDownOf[wave], c.downOf[wave])
 	if id := c.list[i].Worker; id != "" {
 		c.h.fleet.Remove("address-of-" + id)
 		c.h.store.Put("workers", id, nil)
@@ -169,6 +192,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.down--
+		c.downOf[wave]--
 		c.list[i].State = instances.Up
 		if pool == testPool {
 			c.list[i].Worker = c.startWorker(instance)
--- a/internal/owner/once_test.go
+++ b/internal/owner/once_test.go
@@ -76,7 +76,7 @@
 // Maintenance waits for the end of an at-most-once run.
 func TestMaintenanceWaitsForAtMostOnceTask(t *testing.T) {
 	h := newHarness(t)
-	c := &fakeControl{h: h}
+	c := newControl(h)
 	h.control = c
 	c.add("i1", false)
 	o := h.startOwner(true)
