Publish the state of a completed wave as well when its record is read

Seen: an owner that ended between the record of a wave's end and its append to the status topic left the wave `active`, or without any state, for good. Cause: a successor published only waves that were not recorded as completed. Change: each owner publishes the recorded state of a wave when it first reads the operator's record. Test: TestSuccessorPublishesRecordedCompletion, before: 'not within 20s: the wave is reported completed'; passes with -race.

--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -144,9 +144,7 @@
 				o.log.Info("maintenance wave received", "wave", decoded.Wave.Number, "instances", len(decoded.Wave.Instances),
 					"at_once", decoded.Wave.MaxConcurrent, "deadline_s", decoded.Wave.DeadlineS, "begun", len(w.begun))
 				w.Wave, w.hasSpec = *decoded.Wave, true
-				if !w.progress.Completed {
-					o.publishWaveStatus(w)
-				}
+				o.publishWaveStatus(w) // an earlier owner may have ended before it published the state
 			}
 		}
 	}
