Publish the states of waves in order, as a fenced producer

Seen: a late append of `active` replaced `completed` for good, so that operators read a wave as unfinished. Cause: each state was appended by a goroutine with retries of its own, without a producer: an append that the store carries out late won, within a term as well as from an owner that had been replaced. Change: one publisher per term appends the states in order, one append at a time, as the producer "owner" of the status topic with the term's fence as epoch and its own sequence numbers. The first append of a term raises the epoch; a late repeat of an append has no effect, and one of an earlier owner is fenced. An earlier owner's state that arrives before is replaced, because each owner publishes every wave that it reads. An owner that is fenced on the status topic steps down. Tests, before: TestLateStatusKeepsCompletion and TestLateStatusOfPredecessorKeepsCompletion 'the wave is reported as completed false after an earlier status arrived late'; TestOwnerFencedOnStatusTopicStepsDown 'the replaced owner goes on'. They pass with -race.

--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -47,6 +47,7 @@
 	callBudget  pool.CallBudget // for new orders
 	// inheritedMoves lists, by instance, the moves that an earlier owner ordered without recording the outcome.
 	inheritedMoves map[string]moveOrder
+	statuses       statusPublisher
 }
 
 func (f *fleetState) init() {
@@ -150,20 +151,6 @@
 	}
 }
 
-// publishWaveStatus appends the state of a wave to the status topic, which operators read.
-func (o *Owner) publishWaveStatus(w *wave) {
-	record := o.cfg.Codec.EncodeWaveStatus(w.Number, w.progress.Completed)
-	go func() {
-		err := o.retryStore("publish maintenance wave status", func(ctx context.Context) error {
-			_, _, err := o.cfg.Store.Append(ctx, o.cfg.Codec.StatusTopic(), topic.Batch{Records: []topic.Record{record}})
-			return err
-		})
-		if err != nil {
-			o.log.Info("maintenance wave status not published", "wave", w.Number, "err", err)
-		}
-	}()
-}
-
 // listInstances lists all instances every listInterval until the term ends.
 func (o *Owner) listInstances() {
 	for {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -31,6 +31,9 @@
 // jobsTopic holds the jobs and their progress.
 const jobsTopic topic.Name = "keyed.jobs"
 
+// ownerProducer is the name under which owners write as a fenced producer.
+const ownerProducer = "owner"
+
 // Prefixes of the keys in jobsTopic.
 const (
 	jobKeyPrefix      = "j/"
@@ -203,7 +206,7 @@
 }
 
 func (o *Owner) producer() *topic.Producer {
-	return &topic.Producer{Name: "owner", Epoch: o.term.Fence, Sequence: o.commit.sequence}
+	return &topic.Producer{Name: ownerProducer, Epoch: o.term.Fence, Sequence: o.commit.sequence}
 }
 
 // retryStore repeats a store call until it succeeds. It returns errReplaced if a newer owner has fenced this one, and
--- a/internal/owner/wavestatus_test.go
+++ b/internal/owner/wavestatus_test.go
@@ -5,8 +5,10 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
 
 	"github.com/pollenford/pollenford/internal/instances"
 	"github.com/pollenford/pollenford/internal/topic"
@@ -45,6 +47,12 @@
 	return s.on
 }
 
+func (s *lateStatuses) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.kept)
+}
+
 // turnOff lets further appends pass.
 func (s *lateStatuses) turnOff() {
 	s.mu.Lock()
@@ -52,6 +60,13 @@
 	s.on = false
 }
 
+// release carries out the first of the kept appends, whose caller no longer waits for a response.
+func (s *lateStatuses) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, _, _ = s.Store.Append(context.Background(), codec{}.StatusTopic(), s.kept[0])
+}
+
 // recordedWave returns the recorded progress of a wave.
 func (h *harness) recordedWave(key string) (progress waveProgress) {
 	h.t.Helper()
@@ -87,3 +102,63 @@
 	h.startOwner(true)
 	h.await("the wave is reported completed", func() bool { return h.waveStatus(1) == "true" })
 }
+
+// An append of `active` that is carried out late does not replace `completed`, neither within a term...
+func TestLateStatusKeepsCompletion(t *testing.T) {
+	h := newHarness(t)
+	h.withControl().add("i1", false)
+	statuses := h.withLateStatuses()
+	h.startOwner(true)
+	h.putWave(singleWave())
+	h.await("a status is on its way", func() bool { return statuses.count() > 0 })
+	h.await("the end of the wave is recorded", func() bool { return h.recordedWave("w/1").Completed })
+	statuses.turnOff()
+	h.awaitCompletionStays(statuses)
+}
+
+// ... nor across a change of owner.
+func TestLateStatusOfPredecessorKeepsCompletion(t *testing.T) {
+	h := newHarness(t)
+	h.withControl().add("i1", false)
+	statuses := h.withLateStatuses()
+	first := h.startOwner(true)
+	h.putWave(singleWave())
+	h.await("a status is on its way", func() bool { return statuses.count() > 0 })
+	first.stop()
+	statuses.turnOff()
+	h.startOwner(true)
+	h.awaitCompletionStays(statuses)
+}
+
+// awaitCompletionStays waits until wave 1 is reported completed and checks that the first kept append does not change that.
+func (h *harness) awaitCompletionStays(statuses *lateStatuses) {
+	h.t.Helper()
+	h.await("the wave is reported completed", func() bool { return h.waveStatus(1) == "true" })
+	statuses.release()
+	if status := h.waveStatus(1); status != "true" {
+		h.t.Errorf("the wave is reported as completed %s after an earlier status arrived late", status)
+	}
+}
+
+// A newer owner that has published statuses ends the term of this one.
+func TestOwnerFencedOnStatusTopicStepsDown(t *testing.T) {
+	h := newHarness(t)
+	h.withControl().add("i1", false)
+	o := h.startOwner(true)
+	newer := &topic.Producer{Name: o.producer().Name, Epoch: o.term.Fence + 1}
+	if _, _, err := h.store.Append(t.Context(), codec{}.StatusTopic(), topic.Batch{Producer: newer}); err != nil {
+		t.Fatal(err)
+	}
+	h.putWave(singleWave())
+	select {
+	case err := <-o.done:
+		if !errors.Is(err, errReplaced) {
+			t.Errorf("the term ended with %v, want %v", err, errReplaced)
+		}
+	case <-time.After(awaitTimeout):
+		t.Error("the replaced owner goes on")
+	}
+	if status := h.waveStatus(1); status != "" {
+		t.Errorf("the replaced owner published %q", status)
+	}
+}
