Show a wave as completed to operators only once that is recorded

Seen: the fleet view (`wave list`) showed a wave as completed while the store had not acknowledged its end; after a change of owner it was active again. Cause: the view read the owner's own state, which is ahead of the store by the append in flight. Change: the view and the status topic show the state that the store has acknowledged. Test: TestFleetShowsRecordedCompletion, before: 'the wave is shown as completed although the store has not acknowledged that'. `go test -race ./internal/owner` passes (111 s).

--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -90,6 +90,8 @@
 	begun     map[string]bool
 	firstSeen time.Time
 	hasSpec   bool // the embedded Wave was read from the operator's record
+	// completionRecorded reports whether the store has acknowledged progress.Completed.
+	completionRecorded bool
 }
 
 func (o *Owner) getOrCreateWave(number int64) *wave {
@@ -108,7 +110,7 @@
 		return errors.Trace(err)
 	}
 	w := o.getOrCreateWave(recorded.Number)
-	w.progress = recorded
+	w.progress, w.completionRecorded = recorded, recorded.Completed
 	for _, id := range recorded.Begun {
 		w.begun[id] = true
 	}
@@ -316,7 +318,10 @@
 		w.progress.Completed = true
 		o.log.Info("maintenance wave completed", "wave", w.Number, "ms", now.Sub(w.firstSeen).Milliseconds())
 		o.recordWave(w)
-		o.afterCommit(func() { o.publishWaveStatus(w) })
+		o.afterCommit(func() {
+			w.completionRecorded = true
+			o.publishWaveStatus(w)
+		})
 		o.releaseInstances(w)
 		return
 	}
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -269,7 +269,7 @@
 		}
 		for _, w := range o.fleet.waves {
 			f.Waves = append(f.Waves, jobs.Wave{
-				Number: w.Number, Total: len(w.Instances), Begun: len(w.begun), Completed: w.progress.Completed,
+				Number: w.Number, Total: len(w.Instances), Begun: len(w.begun), Completed: w.completionRecorded,
 			})
 		}
 		r.send(nil)
--- a/internal/owner/wavestatus.go
+++ b/internal/owner/wavestatus.go
@@ -20,10 +20,10 @@
 	sequence int64
 }
 
-// publishWaveStatus queues the state of a wave for the status topic, which operators read.
+// publishWaveStatus queues the recorded state of a wave for the status topic, which operators read.
 func (o *Owner) publishWaveStatus(w *wave) {
 	p := &o.fleet.statuses
-	p.pending = append(p.pending, o.cfg.Codec.EncodeWaveStatus(w.Number, w.progress.Completed))
+	p.pending = append(p.pending, o.cfg.Codec.EncodeWaveStatus(w.Number, w.completionRecorded))
 	o.flushStatuses()
 }
 
--- a/internal/owner/wavestatus_test.go
+++ b/internal/owner/wavestatus_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pollenford/pollenford/internal/instances"
 	"github.com/pollenford/pollenford/internal/topic"
+	"github.com/pollenford/pollenford/internal/topic/topictest"
 )
 
 // lateStatuses keeps the appends to the status topic while it is on: they get no response, and are carried out only when
@@ -162,3 +163,37 @@
 		t.Errorf("the replaced owner published %q", status)
 	}
 }
+
+// Operators see a wave as completed only once that is recorded.
+func TestFleetShowsRecordedCompletion(t *testing.T) {
+	h := newHarness(t)
+	c := h.withControl()
+	c.add("i1", false)
+	o := h.startOwner(true)
+	h.await("the instances are listed", func() bool { return c.count(&c.listings) >= 2 })
+	h.store.SetFaults(topictest.Faults{Down: true})
+	removed := instances.Wave{Number: 1, Instances: []string{"removed"}, DeadlineS: 20, MaxConcurrent: 1}
+	h.inLoop(o, func() {
+		o.handleOperatorRecords([]topic.Record{{Key: "wave/1", Value: encodeJSON(t, removed)}})
+	})
+	h.await("the owner takes the wave for completed", func() bool {
+		completed := false
+		h.inLoop(o, func() { completed = o.fleet.waves[1].progress.Completed })
+		return completed
+	})
+	if h.showsCompleted(o) {
+		t.Error("the wave is shown as completed although the store has not acknowledged that")
+	}
+	h.store.SetFaults(topictest.Faults{})
+	h.await("the wave is shown as completed", func() bool { return h.showsCompleted(o) })
+}
+
+// showsCompleted reports whether operators see the only wave as completed.
+func (h *harness) showsCompleted(o *runningOwner) bool {
+	h.t.Helper()
+	f, err := o.Fleet(h.t.Context())
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return len(f.Waves) == 1 && f.Waves[0].Completed
+}
