--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -269,8 +269,8 @@
 
 // mayBeDownFor reports whether an instance whose maintenance for the wave has begun may still be down for it.
 func (inst *instance) mayBeDownFor(w *wave, now time.Time) bool {
-	if inst.maintainedFor != nil && inst.maintainedFor != w || inst.movingTo != "" {
-		return false // it was up again when the other order was sent
+	if inst.maintainedFor != nil && inst.maintainedFor != w {
+		return false // it was up again when the other wave's order was sent
 	}
 	return inst.info.State == instances.InMaintenance || now.Before(inst.settledAfter)
 }
