--- a/internal/owner/answers_test.go
+++ b/internal/owner/answers_test.go
@@ -237,14 +237,12 @@
 		answered <- err
 	}()
 	h.await("the term is confirmed", func() bool { return store.appends.Load() > before })
-	paused, resume := make(chan bool), make(chan bool)
-	o.post(func() { close(paused); <-resume })
-	<-paused
+	resume := o.pause()
 	store.on.Store(false)
 	// The length of the pause is under test. It ends before the append would be repeated.
 	time.Sleep(pauseLimit + tickInterval)
 	h.submit(h.startOwner(true), newJob("a", 1))
-	close(resume)
+	resume()
 	ticked := make(chan bool)
 	time.AfterFunc(2*tickInterval, func() { close(ticked) })
 	<-ticked
@@ -369,14 +367,12 @@
 			if err := o.Cancel(t.Context(), "known", "org"); err != nil {
 				t.Fatal(err)
 			}
-			paused, resume := make(chan bool), make(chan bool)
-			o.post(func() { close(paused); <-resume })
-			<-paused
+			resume := o.pause()
 			h.startOwner(true)
 			answered := make(chan error, 1)
 			go func() { answered <- call(t.Context(), o) }()
 			time.Sleep(2 * pauseLimit) // the length of the pause is under test
-			close(resume)
+			resume()
 			if err := <-answered; err == nil || errors.Is(err, jobs.ErrNoSuchJob) {
 				t.Errorf("the paused owner answered: %v", err)
 			}
@@ -396,19 +392,17 @@
 	go func() { first <- o.Submit(t.Context(), newJob("first", 1)) }()
 	h.await("an append is in flight", func() bool { return silent.Unanswered.Load() > 0 })
 	go func() { behind <- o.Submit(t.Context(), newJob("behind", 1)) }()
-	paused, resume := make(chan bool), make(chan bool)
 	h.await("the other job waits for an append", func() bool {
 		waits := make(chan bool, 1)
 		o.post(func() { waits <- o.jobs["behind"] != nil })
 		return <-waits
 	})
-	o.post(func() { close(paused); <-resume })
-	<-paused
+	resume := o.pause()
 	silent.On.Store(false)
 	time.Sleep(storeStallLimit + 100*time.Millisecond) // the length of the pause is under test
 	successor := h.startOwner(true)
 	h.submit(successor, newJob("behind", 1)) // its client tries again
-	close(resume)
+	resume()
 	var rejection *jobs.Rejection
 	if err := <-behind; errors.As(err, &rejection) {
 		t.Errorf("the paused owner rejected a job that its successor has accepted: %v", err)
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -176,6 +176,14 @@
 	go func() { r.done <- r.Run() }()
 }
 
+// pause makes the event loop stand still until the returned function is called.
+func (r *runningOwner) pause() (resume func()) {
+	paused, goOn := make(chan bool), make(chan bool)
+	r.post(func() { close(paused); <-goOn })
+	<-paused
+	return func() { close(goOn) }
+}
+
 // inLoop runs a function in the event loop of an owner.
 func (h *harness) inLoop(o *runningOwner, do func()) {
 	h.t.Helper()
