Send a request only to the incarnation of the worker that it was decided for

Cause: requests were bound to an ID and an address. Both incarnations have them, and the HTTP client opens a connection to whatever answers there, also for requests that have waited in its queue since before the crash. Each begins with a /hold that changes nothing; if its `born` is another one, the connection is closed and the request, which was not sent, ends with an IncarnationError that names the incarnation found. The owner opens a session with that one at once. Why it works: a connection ends in one process. What the earlier incarnation had received ends with it ("it then holds and knows nothing of before"), and what it had not received can no longer be sent to another. The owner still waits for the lists where a start was sent, since owners of earlier builds do not bind theirs. Ruled out: a higher fence for each incarnation. It works only after the next incarnation has seen it, and an owner of an earlier build that took over would be fenced.

--- a/internal/owner/reborn_test.go
+++ b/internal/owner/reborn_test.go
@@ -216,6 +216,62 @@
 	})
 }
 
+// Guards against a task that waits for ever, or runs twice, when a request finds another incarnation than the one that it was
+// meant for: the next one gets a session and the task, before the directory names it.
+func TestRequestThatFindsTheNextIncarnation(t *testing.T) {
+	const address = "address-of-w1"
+	for name, c := range map[string]struct {
+		silent bool // the crash leaves the heartbeat in progress without a response
+		runs   int
+	}{
+		"start":     {silent: true, runs: 1},
+		"heartbeat": {runs: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			h.fleet.BindIncarnations = true
+			first := h.addWorker("w1", 20*time.Millisecond)
+			o := h.startOwner(true)
+			h.await("the worker is known", func() bool { return first.Fence() > 0 })
+			h.fleet.HoldStarts(address)
+			h.submit(o, newJob("a", 1))
+			h.await("the start is on its way", func() bool { return h.fleet.HeldStarts(address) == 1 })
+			first.SetUnresponsive(c.silent)
+			second := h.restart("w1", 2, 20*time.Millisecond)
+			if !c.silent {
+				h.awaitIncarnation(o, "w1", 2)
+			}
+			h.fleet.ReleaseStarts(address)
+			h.awaitState(o, "a", workload.Completed)
+			h.awaitIncarnation(o, "w1", 2)
+			h.checkNothingRanTwice(t)
+			if n := len(h.startsOf("a.0.0.0")); n != c.runs {
+				t.Errorf("%d runs, want %d", n, c.runs)
+			}
+			h.await("the end is acknowledged", func() bool { return second.UnacknowledgedEnds() == 0 })
+		})
+	}
+}
+
+// Guards against a stop that counts as confirmed because another incarnation than the one that has the run was found.
+func TestStopThatFindsAnEarlierIncarnationIsRepeated(t *testing.T) {
+	h := newHarness(t)
+	h.fleet.BindIncarnations = true
+	worker := h.addWorker("w1", 0)
+	o := h.startOwner(true)
+	h.submit(o, newJob("a", 1))
+	h.await("the task runs", func() bool { return len(worker.Running()) == 1 })
+	h.inLoop(o, func() {
+		w := o.workers["w1"]
+		p := w.runs["a.0.0.0"]
+		earlier := &workers.IncarnationError{Found: w.info.Incarnation - 1}
+		if found := incarnationFound(0, earlier); !o.handleStopResult(w, p, found, earlier) || !p.stoppedAt.IsZero() {
+			t.Error("the stop is not repeated")
+		}
+	})
+}
+
 // awaitIncarnation waits until an owner knows of an incarnation of a worker.
 func (h *harness) awaitIncarnation(o *runningOwner, id string, incarnation int64) {
 	h.t.Helper()
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -182,6 +182,9 @@
 			w.health.recordFailure(time.Now())
 		}
 		o.loseRun(w, p, workload.NeverStarted, "start refused by the worker")
+		if found := incarnationFound(0, err); found > w.info.Incarnation {
+			o.workerRestarted(w, found)
+		}
 	default:
 		o.metrics.startsUnanswered.Inc(1)
 		o.log.Warn("start request unanswered", "task", p.taskName, "run", p.run, "worker", w.info.ID, "err", err)
@@ -194,8 +197,7 @@
 // confirmStart processes the acceptance of a start by an incarnation, or by an unknown one (0).
 func (o *Owner) confirmStart(w *worker, p *placement, incarnation int64) {
 	if incarnation > w.info.Incarnation {
-		o.log.Info("worker restarted", "worker", w.info.ID, "incarnation", incarnation)
-		o.resetIncarnation(w, incarnation)
+		o.workerRestarted(w, incarnation)
 	}
 	if incarnation != 0 && incarnation < w.info.Incarnation {
 		o.loseRun(w, p, workload.Interrupted, "worker restarted")
@@ -262,10 +264,11 @@
 			return
 		}
 		o.post(func() {
-			if reply.Incarnation == 0 {
-				reply.Incarnation = sentTo // or a later one
+			incarnation := incarnationFound(reply.Incarnation, err)
+			if incarnation == 0 {
+				incarnation = sentTo // or a later one
 			}
-			if o.handleStopResult(w, p, reply.Incarnation, err) {
+			if o.handleStopResult(w, p, incarnation, err) {
 				o.sendStop(w, p)
 			}
 		})
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -121,7 +121,8 @@
 	w.sessionEstablished = false
 	w.session = &session{
 		w: w, cancel: cancel, nextRequest: make(chan workers.HeartbeatRequest, 1),
-		target: workers.Target{ID: w.info.ID, Address: w.info.Address, Fence: o.term.Fence},
+		target: workers.Target{
+			ID: w.info.ID, Address: w.info.Address, Incarnation: w.info.Incarnation, Fence: o.term.Fence},
 	}
 	go o.runSession(ctx, w.session)
 }
@@ -158,18 +159,18 @@
 	if w.session != s {
 		return
 	}
+	if found := incarnationFound(response.Incarnation, err); found > w.info.Incarnation {
+		o.workerRestarted(w, found)
+		return
+	}
 	if err != nil {
 		o.handleHeartbeatError(w, err)
 		o.resumeSession(w, 0)
 		return
 	}
-	if response.Incarnation != 0 && response.Incarnation != w.info.Incarnation {
-		if response.Incarnation < w.info.Incarnation {
-			o.resumeSession(w, 0)
-			return
-		}
-		o.log.Info("worker restarted", "worker", w.info.ID, "incarnation", response.Incarnation)
-		o.resetIncarnation(w, response.Incarnation)
+	if response.Incarnation != 0 && response.Incarnation < w.info.Incarnation {
+		o.resumeSession(w, 0)
+		return
 	}
 	w.clockMS, w.clockAt = response.ClockMS, received
 	first := !w.sessionEstablished
@@ -207,6 +208,23 @@
 	}
 }
 
+// incarnationFound returns the incarnation that a worker's reply names, or that was found in place of the addressed one;
+// 0 if neither is known.
+func incarnationFound(replied int64, err error) int64 {
+	var other *workers.IncarnationError
+	if errors.As(err, &other) {
+		return other.Found
+	}
+	return replied
+}
+
+// workerRestarted goes on with a later incarnation of a worker, in a session of its own.
+func (o *Owner) workerRestarted(w *worker, incarnation int64) {
+	o.log.Info("worker restarted", "worker", w.info.ID, "incarnation", incarnation)
+	o.resetIncarnation(w, incarnation)
+	o.openSession(w)
+}
+
 // pollTimeout returns how long the worker may hold a heartbeat open. It is short while a long-running task starts up,
 // because maintenance of another instance may wait until the task runs at full speed.
 func (w *worker) pollTimeout() time.Duration {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/juju/errors"
@@ -30,6 +31,19 @@
 	ErrIncarnationMismatch = errors.ConstError("a different incarnation of the worker responded")
 )
 
+// IncarnationError means that another incarnation than the addressed one is up. The request was not sent to it.
+type IncarnationError struct {
+	// Found is the incarnation that is up.
+	Found int64
+}
+
+func (e *IncarnationError) Error() string {
+	return fmt.Sprintf("%v: %d", ErrIncarnationMismatch, e.Found)
+}
+
+// Is reports whether target is ErrIncarnationMismatch.
+func (e *IncarnationError) Is(target error) bool { return target == ErrIncarnationMismatch }
+
 // Info is a worker's registration in the platform's directory.
 type Info struct {
 	ID string
@@ -56,10 +70,12 @@
 	return false
 }
 
-// Target addresses a worker: the incarnation with this ID that is up when the request arrives.
+// Target addresses an incarnation of a worker.
 type Target struct {
 	ID      string
 	Address string
+	// Incarnation is the only one that may carry out the request; 0 means the one that is up when it arrives.
+	Incarnation int64
 	// Fence is the owner's fence; the worker rejects requests below the highest it has seen.
 	Fence int64
 }
@@ -131,11 +147,12 @@
 	Ended       []RunEnd
 }
 
-// Client sends requests to workers. Each method makes one call and is safe for concurrent use.
+// Client sends requests to workers. Each method makes one call and is safe for concurrent use. A request reaches no
+// incarnation but that of its target (IncarnationError), however long it is on its way.
 type Client interface {
-	// Start starts a run. A request that waits for a connection may reach a later incarnation than the one it was sent to.
+	// Start starts a run.
 	Start(ctx context.Context, to Target, request StartRequest) (Reply, error)
-	// Stop stops a run; one that has not started yet cannot start afterwards on the incarnation that responds.
+	// Stop stops a run; one that has not started yet cannot start afterwards on that incarnation.
 	Stop(ctx context.Context, to Target, task string, run int) (Reply, error)
 	// Heartbeat returns the state of the worker.
 	Heartbeat(ctx context.Context, to Target, request HeartbeatRequest) (HeartbeatResponse, error)
--- a/internal/workers/workertest/fleet.go
+++ b/internal/workers/workertest/fleet.go
@@ -25,6 +25,9 @@
 	starts []*Start
 	// OmitIncarnation leaves the incarnation out of the replies to starts and stops. Set it before the first call.
 	OmitIncarnation bool
+	// BindIncarnations carries out a request only on the incarnation that it is addressed to, as the platform's client
+	// does. Without it a request reaches the worker that is up. Set it before the first call.
+	BindIncarnations bool
 	// heldStarts holds back the starts sent to an address until its channel is closed; protected by mu.
 	heldStarts map[string]*heldStarts
 }
@@ -328,6 +331,9 @@
 	if w.ID != to.ID {
 		return nil, workers.ErrIncarnationMismatch
 	}
+	if f.BindIncarnations && to.Incarnation != 0 && to.Incarnation != w.Incarnation {
+		return nil, &workers.IncarnationError{Found: w.Incarnation}
+	}
 	w.advance()
 	if to.Fence < w.fence {
 		return nil, workers.ErrFenced
