Pause before a follower reads again after a gap in its topic

While the store deletes records faster than they are read, every instance repeats two calls without a pause, which uses up the rate of calls that all share; calls beyond it are rejected with 429, those of the owner among them. Change: a gap waits like any failure, 25 to 200 ms, and only a read of records ends the backoff.

--- a/internal/topic/follow.go
+++ b/internal/topic/follow.go
@@ -41,7 +41,7 @@
 	nextOffset := int64(-1)
 	backoff := followMinBackoff
 	for ctx.Err() == nil {
-		start := time.Now()
+		start, snapshot := time.Now(), nextOffset < 0
 		err := f.step(ctx, &nextOffset)
 		if err != nil {
 			if ctx.Err() != nil {
@@ -50,7 +50,6 @@
 			f.OnError(err)
 			if errors.Is(err, ErrOutOfRetention) {
 				nextOffset = -1
-				continue
 			}
 			if !wait.For(ctx, backoff) {
 				return
@@ -58,7 +57,9 @@
 			backoff = min(2*backoff, followMaxBackoff)
 			continue
 		}
-		backoff = followMinBackoff
+		if !snapshot { // a snapshot succeeds also while each read after it is out of retention
+			backoff = followMinBackoff
+		}
 		if remaining := f.MinInterval - time.Since(start); remaining > 0 && !wait.For(ctx, remaining) {
 			return
 		}
--- a/internal/topic/follow_test.go
+++ b/internal/topic/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,3 +87,38 @@
 		t.Errorf("seen %v, want the first record", seen)
 	}
 }
+
+// forgetfulStore has deleted the records after each snapshot before they are read.
+type forgetfulStore struct {
+	topic.Store
+	snapshots atomic.Int64
+}
+
+func (s *forgetfulStore) SnapshotPage(ctx context.Context, name topic.Name, after string) ([]topic.Record, string, int64, error) {
+	s.snapshots.Add(1)
+	return s.Store.SnapshotPage(ctx, name, after)
+}
+
+func (s *forgetfulStore) Read(context.Context, topic.Name, int64, time.Duration) (topic.ReadResult, error) {
+	return topic.ReadResult{}, topic.ErrOutOfRetention
+}
+
+// Guards against a follower that uses up the calls to the store of all instances because it reads again without a pause
+// when its offset is no longer retained.
+func TestFollowerPausesAfterAGap(t *testing.T) {
+	const (
+		length = time.Second
+		most   = 10 // pauses of 25, 50, 100 and then 200 ms leave room for 7 in a second
+	)
+	ctx, cancel := context.WithTimeout(t.Context(), length)
+	defer cancel()
+	store := &forgetfulStore{Store: &topictest.Store{}}
+	f := &topic.Follower{
+		Store: store, Topic: "topic", Log: hclog.NewNullLogger(),
+		OnSnapshot: func([]topic.Record) {}, OnRecords: func([]topic.Record, int64) {}, OnError: func(error) {},
+	}
+	f.Run(ctx)
+	if n := store.snapshots.Load(); n < 2 || n > most {
+		t.Errorf("%d snapshots in %v, want 2 to %d", n, length, most)
+	}
+}
