Log when a topic cannot be read, and when it can again

Nothing tells a follower that waits from one that fails, or from an operator's topic without a configuration.

--- a/internal/topic/follow.go
+++ b/internal/topic/follow.go
@@ -40,6 +40,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	nextOffset := int64(-1)
 	backoff := followMinBackoff
+	var failingSince time.Time
 	for ctx.Err() == nil {
 		start, snapshot := time.Now(), nextOffset < 0
 		err := f.step(ctx, &nextOffset)
@@ -48,6 +49,10 @@
 				return
 			}
 			f.OnError(err)
+			if failingSince.IsZero() {
+				failingSince = start
+				f.Log.Warn("topic cannot be read", "topic", f.Topic, "snapshot", snapshot, "err", err)
+			}
 			if errors.Is(err, ErrOutOfRetention) {
 				nextOffset = -1
 			}
@@ -59,6 +64,10 @@
 		}
 		if !snapshot { // a snapshot succeeds also while each read after it is out of retention
 			backoff = followMinBackoff
+			if !failingSince.IsZero() {
+				f.Log.Info("topic can be read again", "topic", f.Topic, "after_ms", time.Since(failingSince).Milliseconds())
+				failingSince = time.Time{}
+			}
 		}
 		if remaining := f.MinInterval - time.Since(start); remaining > 0 && !wait.For(ctx, remaining) {
 			return
--- a/internal/topic/follow_test.go
+++ b/internal/topic/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -122,3 +123,42 @@
 		t.Errorf("%d snapshots in %v, want 2 to %d", n, length, most)
 	}
 }
+
+// failingStore fails its first calls.
+type failingStore struct {
+	topic.Store
+	failures int
+}
+
+func (s *failingStore) SnapshotPage(ctx context.Context, name topic.Name, after string) ([]topic.Record, string, int64, error) {
+	if s.failures--; s.failures >= 0 {
+		return nil, "", 0, errors.New("no response")
+	}
+	return s.Store.SnapshotPage(ctx, name, after)
+}
+
+// A follower that cannot read its topic says so in one line, and in one more when it can again. Without them the log of an
+// instance that is not ready for want of a configuration does not tell why.
+func TestFollowerLogsWhenItsTopicCannotBeRead(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	var output strings.Builder
+	log := hclog.New(&hclog.LoggerOptions{Output: &output})
+	store := &topictest.Store{}
+	f := &topic.Follower{
+		Store: &failingStore{store, 3}, Topic: "topic", PollTimeout: 20 * time.Millisecond, Log: log,
+		OnSnapshot: func([]topic.Record) { store.Put("topic", "key", []byte("1")) },
+		OnRecords: func(records []topic.Record, _ int64) {
+			if len(records) == 0 { // the read before has ended
+				cancel()
+			}
+		},
+		OnError: func(error) {},
+	}
+	f.Run(ctx)
+	for _, line := range []string{"topic cannot be read: topic=topic snapshot=true", "topic can be read again: topic=topic after_ms="} {
+		if n := strings.Count(output.String(), line); n != 1 {
+			t.Errorf("%d lines %q, want 1:\n%s", n, line, output.String())
+		}
+	}
+}
