Let only a worker that answers end the runs of an earlier incarnation

An entry names a worker; whether the process behind it is a later incarnation was believed without asking it. Its answer decides: if it is up, the entry is taken over and the runs of the earlier one end; if the known one answers, the entry is ignored and its session goes on. A worker ends the runs of others on its instance once it answers. Without an answer the runs end with their lease, as before. A stop that was not sent because the incarnation with the run was found is repeated. TestEntryOfAnUnknownService demanded that such an entry replaces the known incarnation when its service is configured, although its address is that of nobody. It now demands that the announced incarnation is asked, and also that the task is not started again. Why it works: two incarnations of one worker are never up at a time, so the answer of the later one proves the end of the earlier one.

--- a/internal/owner/odd_entry_test.go
+++ b/internal/owner/odd_entry_test.go
@@ -376,10 +376,14 @@
 			h.catalog.Store(catalog.New(2, nil, []*catalog.Pool{{Name: testPool}, {Name: "other"}}, nil, catalog.HTTPLimits{}))
 			o.post(func() {
 				o.registerUnconfigured()
-				known <- o.workers[id].info.Incarnation
+				known <- o.workers[id].session.target.Incarnation
 			})
 			if incarnation := <-known; incarnation != 99 {
-				t.Errorf("incarnation %d once the service is configured, want 99", incarnation)
+				t.Errorf("incarnation %d is asked once the service is configured, want 99", incarnation)
+			}
+			time.Sleep(2 * placementRetryInterval)
+			if n := len(h.startsOf("a.0.0.0")); n != 1 {
+				t.Errorf("the task was started %d times although nobody answers for the entry", n)
 			}
 		})
 	}
--- a/internal/owner/reborn_test.go
+++ b/internal/owner/reborn_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/pollenford/pollenford/internal/catalog"
 	"github.com/pollenford/pollenford/internal/workers"
 	"github.com/pollenford/pollenford/internal/workers/workertest"
 	"github.com/pollenford/pollenford/internal/workload"
@@ -254,8 +255,9 @@
 	}
 }
 
-// Guards against a stop that counts as confirmed because another incarnation than the one that has the run was found.
-func TestStopThatFindsAnEarlierIncarnationIsRepeated(t *testing.T) {
+// Guards against a stop that counts as confirmed although it was not sent: another incarnation than the
+// addressed one was found, which may have the run.
+func TestStopThatWasNotSentIsRepeated(t *testing.T) {
 	h := newHarness(t)
 	h.fleet.BindIncarnations = true
 	worker := h.addWorker("w1", 0)
@@ -265,13 +267,55 @@
 	h.inLoop(o, func() {
 		w := o.workers["w1"]
 		p := w.runs["a.0.0.0"]
-		earlier := &workers.IncarnationError{Found: w.info.Incarnation - 1}
-		if found := incarnationFound(0, earlier); !o.handleStopResult(w, p, found, earlier) || !p.stoppedAt.IsZero() {
-			t.Error("the stop is not repeated")
+		for _, found := range []int64{w.info.Incarnation - 1, w.info.Incarnation} {
+			err := &workers.IncarnationError{Found: found}
+			if !o.handleStopResult(w, p, found, err) || !p.stoppedAt.IsZero() {
+				t.Errorf("the stop is not repeated: %v", err)
+			}
 		}
 	})
 }
 
+// Guards against work that is run twice because of an entry that names a good worker's ID or machine and a later start time,
+// and is not the worker's own. Only an incarnation that answers ends the runs of an earlier one.
+func TestEntryAloneEndsNoRuns(t *testing.T) {
+	for name, change := range map[string]func(info *workers.Info){
+		"same ID":                   func(info *workers.Info) { info.Incarnation = 2 },
+		"same ID, other address":    func(info *workers.Info) { info.Incarnation, info.Address = 2, "nowhere" },
+		"same ID, other capacity":   func(info *workers.Info) { info.Incarnation, info.Capacity = 2, catalog.Resources{CPU: 1} },
+		"same machine":              func(info *workers.Info) { info.ID, info.Incarnation, info.Address = "w0", 2, "nowhere" },
+		"same machine, its address": func(info *workers.Info) { info.ID, info.Incarnation = "w0", 2 },
+	} {
+		for _, bound := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, requests bound %v", name, bound), func(t *testing.T) {
+				t.Parallel()
+				h := newHarness(t)
+				h.fleet.BindIncarnations = bound
+				worker := h.addWorker("w1", 2*time.Second)
+				h.addWorker("w2", 2*time.Second).RefuseStarts(workers.ErrInsufficientCapacity)
+				o := h.startOwner(true)
+				h.submit(o, newJob("a", 3))
+				h.await("the tasks run", func() bool { return len(worker.Running()) == 3 })
+				h.fleet.At("address-of-w2").RefuseStarts(nil)
+				own := h.workerInfos["w1"]
+				odd := own
+				change(&odd)
+				for range 3 {
+					h.publish(odd)
+					time.Sleep(200 * time.Millisecond)
+					h.publish(own)
+					time.Sleep(200 * time.Millisecond)
+				}
+				h.awaitState(o, "a", workload.Completed)
+				h.checkNothingRanTwice(t)
+				if n := len(h.fleet.Starts()); n != 3 {
+					t.Errorf("three tasks were started %d times", n)
+				}
+			})
+		}
+	}
+}
+
 // awaitIncarnation waits until an owner knows of an incarnation of a worker.
 func (h *harness) awaitIncarnation(o *runningOwner, id string, incarnation int64) {
 	h.t.Helper()
--- a/internal/owner/registration.go
+++ b/internal/owner/registration.go
@@ -107,11 +107,44 @@
 
 func (o *Owner) workerRegistered(info workers.Info) {
 	w := o.getOrCreateWorker(info.ID)
-	previous := w.info
-	if previous.Incarnation > info.Incarnation {
+	if w.info.Incarnation > info.Incarnation {
 		return // a stale record of an earlier incarnation
 	}
-	w.info = info
+	if w.info.Incarnation < info.Incarnation && len(w.runs) > 0 && w.info.Address != "" {
+		o.awaitAnnounced(w, info)
+		return
+	}
+	o.register(w, info)
+}
+
+// awaitAnnounced asks a later incarnation, which the directory announces, to answer. Until then the known one keeps its runs
+// and their leases, because the entry may be wrong.
+func (o *Owner) awaitAnnounced(w *worker, info workers.Info) {
+	known := w.announced
+	w.announced = &info
+	if known == nil || known.Incarnation != info.Incarnation || known.Address != info.Address {
+		o.openSession(w)
+	}
+}
+
+// resolveAnnounced decides by the incarnation that answered whether the announced one replaces the known one.
+func (o *Owner) resolveAnnounced(w *worker, found int64) {
+	info := *w.announced
+	w.announced = nil
+	if found < info.Incarnation {
+		o.log.Warn("worker entry ignored: another incarnation is up", "worker", w.info.ID, "announced", info.Incarnation, "incarnation", found)
+		o.openSession(w)
+		return
+	}
+	info.Incarnation = found
+	o.log.Info("worker restarted", "worker", w.info.ID, "incarnation", found)
+	o.register(w, info)
+}
+
+// register takes over what the directory says of a worker.
+func (o *Owner) register(w *worker, info workers.Info) {
+	previous := w.info
+	w.info, w.announced = info, nil
 	if info.Pool != previous.Pool || info.Instance != previous.Instance {
 		o.workerIndex.moved(w, previous.Instance)
 	}
@@ -124,8 +157,10 @@
 		o.replan = true
 	}
 	w.registered = true
-	o.endOlderIncarnations(w)
-	if w.session == nil || w.session.target.Address != info.Address || info.Incarnation != previous.Incarnation {
+	if w.sessionEstablished {
+		o.endOlderIncarnations(w)
+	}
+	if w.session == nil || w.session.target.Address != info.Address || w.session.target.Incarnation != info.Incarnation {
 		o.openSession(w)
 	}
 }
@@ -166,7 +201,8 @@
 	}
 }
 
-// endOlderIncarnations ends the runs of earlier workers on the same instance, which runs one worker at a time.
+// endOlderIncarnations ends the runs of earlier workers on the same instance, which runs one worker at a time. Call it only
+// for a worker that answers: an entry alone may be wrong.
 func (o *Owner) endOlderIncarnations(w *worker) {
 	for _, other := range o.workerIndex.byInstance[w.info.Instance] {
 		if other == w || other.info.Incarnation >= w.info.Incarnation {
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -256,6 +256,9 @@
 
 func (o *Owner) sendStop(w *worker, p *placement) {
 	target, sentTo := w.session.target, w.info.Incarnation
+	if target.Incarnation != 0 {
+		sentTo = target.Incarnation
+	}
 	go func() {
 		ctx, stop := context.WithTimeout(o.ctx, requestTimeout)
 		reply, err := o.cfg.Workers.Stop(ctx, target, p.taskName, p.run)
@@ -281,10 +284,13 @@
 	if w.runs[p.taskName] != p || w.session == nil {
 		return false
 	}
+	var other *workers.IncarnationError
 	switch {
 	case errors.Is(err, workers.ErrFenced):
 		o.stepDown("worker " + w.info.ID + " has accepted a newer owner")
 		return false
+	case errors.As(err, &other) && incarnation <= w.info.Incarnation:
+		return true // the request was not sent, and the run may be on the incarnation that was found
 	case incarnation < w.info.Incarnation:
 		return true
 	case err == nil:
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -75,6 +75,8 @@
 	info workers.Info
 	// registered reports whether the worker is listed in the directory.
 	registered bool
+	// announced is a later incarnation that the directory names and that has not answered yet, or nil.
+	announced *workers.Info
 	// sessionEstablished reports whether the worker responds to this owner's heartbeats.
 	sessionEstablished bool
 	runs               map[string]*placement // by task name
@@ -119,10 +121,13 @@
 	}
 	ctx, cancel := context.WithCancel(o.ctx)
 	w.sessionEstablished = false
+	info := w.info
+	if w.announced != nil {
+		info = *w.announced
+	}
 	w.session = &session{
 		w: w, cancel: cancel, nextRequest: make(chan workers.HeartbeatRequest, 1),
-		target: workers.Target{
-			ID: w.info.ID, Address: w.info.Address, Incarnation: w.info.Incarnation, Fence: o.term.Fence},
+		target: workers.Target{ID: info.ID, Address: info.Address, Incarnation: info.Incarnation, Fence: o.term.Fence},
 	}
 	go o.runSession(ctx, w.session)
 }
@@ -159,7 +164,14 @@
 	if w.session != s {
 		return
 	}
-	if found := incarnationFound(response.Incarnation, err); found > w.info.Incarnation {
+	switch found := incarnationFound(response.Incarnation, err); {
+	case w.announced != nil && found != 0:
+		o.resolveAnnounced(w, found)
+		if w.session == s {
+			o.resumeSession(w, 0)
+		}
+		return
+	case found > w.info.Incarnation:
 		o.workerRestarted(w, found)
 		return
 	}
@@ -179,6 +191,7 @@
 		o.log.Info("worker session established", "worker", w.info.ID,
 			"running", len(response.Running), "ended", len(response.Ended))
 		w.sessionEstablished = true
+		o.endOlderIncarnations(w)
 		o.replan = true
 	}
 	w.endsListed = len(response.Ended) > 0
