Let all members of a gang resume from one checkpoint

Seen: by a test. Cause: each member's start carried the checkpoint that this member had reported. A start takes the gang's checkpoint, which is one value also for progress that an earlier build recorded.

--- a/internal/owner/advise_test.go
+++ b/internal/owner/advise_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/pollenford/pollenford/internal/advice"
 	"github.com/pollenford/pollenford/internal/catalog"
 	"github.com/pollenford/pollenford/internal/workers"
+	"github.com/pollenford/pollenford/internal/workers/workertest"
 	"github.com/pollenford/pollenford/internal/workload"
 )
 
@@ -111,3 +113,62 @@
 	}
 	h.awaitState(o, "a", workload.Completed)
 }
+
+// Guards against a gang that never works again because its members resume from different checkpoints: they are on two
+// workers, which report at different moments, and one member ends without a checkpoint.
+func TestGangResumesFromOneCheckpoint(t *testing.T) {
+	for _, sameOwner := range []bool{true, false} {
+		t.Run(fmt.Sprintf("same owner %v", sameOwner), func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			list := []*workertest.Worker{h.addWorker("w1", 0), h.addWorker("w2", 0)}
+			o := h.startOwner(true)
+			gang := newJob("a", 6) // four fit on one worker
+			gang.Steps[0].Gang, gang.Steps[0].SavesProgress = true, true
+			h.submit(o, gang)
+			h.await("all members run", func() bool { return len(list[0].Running())+len(list[1].Running()) == 6 })
+			for i, worker := range list {
+				for task := range worker.Running() {
+					worker.SaveCheckpoint(task, fmt.Sprint("saved on worker ", i))
+				}
+			}
+			h.await("both have reported", func() (reported bool) {
+				h.inLoop(o, func() {
+					reported = true
+					for _, w := range o.workers {
+						reported = reported && w.sessionEstablished
+					}
+					for _, t := range o.jobs["a"].progress.Current[0].Tasks[0] {
+						reported = reported && t.Checkpoint != ""
+					}
+				})
+				return reported
+			})
+			time.Sleep(heartbeatPollTimeout + 200*time.Millisecond) // the later report
+			if !sameOwner {
+				h.inLoop(o, func() { o.markDirty(o.jobs["a"]) })
+				h.await("the checkpoints are recorded", func() (recorded bool) {
+					h.inLoop(o, func() { recorded = o.jobs["a"].unrecordedChanges == 0 })
+					return recorded
+				})
+				o.stop()
+				o = h.startOwner(true)
+			}
+			for _, worker := range list {
+				for task := range worker.Running() {
+					worker.EndRun(task, workers.GangBroken)
+				}
+			}
+			h.await("all members run again", func() bool { return len(h.fleet.Starts()) >= 12 })
+			values := map[string]int{}
+			for _, s := range h.fleet.Starts() {
+				if s.Run == 2 {
+					values[s.Checkpoint]++
+				}
+			}
+			if len(values) != 1 || values[""] > 0 {
+				t.Errorf("the members resume from %v, want one checkpoint", values)
+			}
+		})
+	}
+}
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -115,9 +115,8 @@
 	p := &placement{job: j, ref: ref, taskName: workload.TaskName(j.spec.ID, ref), run: run, requestedAt: time.Now()}
 	o.reserve(w, p)
 	o.markDirty(j)
-	task := j.progress.Task(ref)
 	request := workers.StartRequest{
-		Task: p.taskName, Run: run, Spec: j.spec.Spec, Checkpoint: task.Checkpoint, Ticket: ticket}
+		Task: p.taskName, Run: run, Spec: j.spec.Spec, Checkpoint: j.progress.Checkpoint(j.spec, ref), Ticket: ticket}
 	o.afterCommit(func() { o.sendStart(w, p, request) })
 }
 
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -337,9 +337,7 @@
 		}
 		p.reported, p.seenOn = true, w.info.Incarnation
 		p.speedPercent = run.SpeedPercent
-		if t := p.job.progress.Task(p.ref); t != nil && run.Checkpoint != "" {
-			t.Checkpoint = run.Checkpoint
-		}
+		p.job.progress.SaveCheckpoint(p.job.spec, p.ref, run.Checkpoint)
 		if p.confirmedAt.IsZero() {
 			p.confirmedAt = time.Now()
 		}
--- a/internal/workers/workertest/fleet.go
+++ b/internal/workers/workertest/fleet.go
@@ -95,6 +95,8 @@
 	startedAt time.Time
 	endsAt    time.Time // zero for a run that continues until it is stopped
 	work      Work
+	// checkpoint is what the run reports while it is active.
+	checkpoint string
 }
 
 // Add adds a worker at an address and replaces the one there, if any.
@@ -273,6 +275,15 @@
 	return len(w.ended)
 }
 
+// SaveCheckpoint makes a run of a task report a checkpoint from now on, if there is one.
+func (w *Worker) SaveCheckpoint(task, checkpoint string) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	if r := w.runs[task]; r != nil {
+		r.checkpoint = checkpoint
+	}
+}
+
 // EndRun ends the run of a task, if there is one.
 func (w *Worker) EndRun(task string, reason workers.EndReason) {
 	w.fleet.mu.Lock()
@@ -498,7 +509,7 @@
 		if time.Since(r.startedAt) < w.StartupTime {
 			percent = 0
 		}
-		response.Running = append(response.Running, workers.Run{Task: task, Number: r.number, SpeedPercent: percent})
+		response.Running = append(response.Running, workers.Run{Task: task, Number: r.number, Checkpoint: r.checkpoint, SpeedPercent: percent})
 	}
 	return response, nil
 }
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -281,6 +281,36 @@
 	return nil
 }
 
+// SaveCheckpoint keeps the checkpoint of a task, if there is one. The value from any member of a gang holds for all.
+func (p *Progress) SaveCheckpoint(j *Job, r TaskRef, checkpoint string) {
+	t := p.Task(r)
+	if t == nil || checkpoint == "" {
+		return
+	}
+	if !j.Steps[r.Step].Gang {
+		t.Checkpoint = checkpoint
+		return
+	}
+	tasks := p.Occurrence(r.Occurrence).Tasks[r.Step]
+	for i := range tasks {
+		tasks[i].Checkpoint = checkpoint
+	}
+}
+
+// Checkpoint returns the checkpoint from which the next run of a task resumes, "" without one. It is the same for all
+// members of a gang, also if an earlier build recorded different ones.
+func (p *Progress) Checkpoint(j *Job, r TaskRef) string {
+	if !j.Steps[r.Step].Gang {
+		return p.Task(r).Checkpoint
+	}
+	for _, t := range p.Occurrence(r.Occurrence).Tasks[r.Step] {
+		if t.Checkpoint != "" {
+			return t.Checkpoint
+		}
+	}
+	return ""
+}
+
 // Resume records that the latest run of a waiting task is on a worker after all, although it counted as lost. It reports
 // false, and changes nothing, if the task does not wait or has a later run.
 func (p *Progress) Resume(j *Job, r TaskRef, run int, worker string, incarnation int64) bool {
@@ -343,9 +373,7 @@
 	if t == nil || t.Phase != Placed || t.Run != run {
 		return Ignored
 	}
-	if checkpoint != "" {
-		t.Checkpoint = checkpoint
-	}
+	p.SaveCheckpoint(j, r, checkpoint)
 	t.Phase = Waiting
 	p.Occurrence(r.Occurrence).clearEviction(r)
 	if p.State != Active {
