Let the limits of the connection to the owner grow with the bytes on it

Seen: by a test. Cause: writing a message, and a ping beside it, had 0.5 s whatever waits before them. On a link of 10 Mbit/s that is 625 KB for all calls of an entry together. Sixteen calls admitted by an older configuration of 250 KB each got the whole document back; the pong waited behind them, the connection was closed, its calls had no known outcome, and the owner counted as silent. With an entry that the store rejects, which learns of configurations in no other way, that repeats itself. Change: a write has 0.5 s and twice the time of the bytes that are queued with it; a ping has 0.5 s and twice that of the bytes sent since the last pong, is left out while a message waits to be written, and does not fail while messages arrive. A call ends at its caller's deadline also while it waits to be written. A connection carries the document of a version once. Why it works: a peer that is gone still ends the connection after 0.5 s when little is on its way, and no transfer of the thinnest link is taken for silence.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -85,8 +85,10 @@
 	Status  jobs.Status     `cbor:"4,keyasint,omitempty"`
 	Pending int             `cbor:"5,keyasint,omitempty"`
 	Fleet   *jobs.Fleet     `cbor:"6,keyasint,omitempty"`
-	// Document is the owner's configuration if the caller's is older.
+	// Document is the owner's configuration if the caller's is older, unless an earlier response on the connection had it.
 	Document []byte `cbor:"7,keyasint,omitempty"`
+
+	version int64 // of Document
 }
 
 // ErrProcessMismatch means that a different process responded at the owner's address, so the owner's process has ended.
@@ -112,6 +114,37 @@
 // notOwnerRejection is the response to a call at an instance that is not the owner.
 var notOwnerRejection = &jobs.Rejection{Reason: "the instance is not the owner", RetryAfter: time.Second}
 
+// serverConn is a connection from an entry.
+type serverConn struct {
+	sender
+	documentMu sync.Mutex
+	// documentVersion is the newest version whose document was sent; protected by documentMu.
+	documentVersion int64
+}
+
+// sendStale sends a response that the caller's configuration is older than the owner's. Only the first one carries the
+// document: those of all calls in progress would occupy a thin link for seconds.
+func (c *serverConn) sendStale(ctx context.Context, res response, version int64) error {
+	c.documentMu.Lock()
+	defer c.documentMu.Unlock()
+	if c.documentVersion >= version {
+		res.Document = nil
+	}
+	if err := c.sendResponse(ctx, res); err != nil {
+		return err
+	}
+	c.documentVersion = max(c.documentVersion, version)
+	return nil
+}
+
+func (c *serverConn) sendResponse(ctx context.Context, res response) error {
+	data, err := cbor.Marshal(res)
+	if err != nil {
+		return errors.Annotate(err, "encoding the response")
+	}
+	return c.send(ctx, data)
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Query().Get(incarnationParameter) != s.Incarnation {
@@ -125,6 +158,7 @@
 	}
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxMessageBytes)
+	c := &serverConn{sender: sender{conn: conn}}
 	ctx, stop := context.WithCancel(r.Context())
 	defer stop()
 	for {
@@ -137,29 +171,28 @@
 			s.Log.Warn("malformed peer request", "from", r.RemoteAddr, "err", err)
 			return
 		}
-		go s.handle(ctx, conn, req)
+		go s.handle(ctx, c, req)
 	}
 }
 
-func (s *Server) handle(ctx context.Context, conn *websocket.Conn, req request) {
+func (s *Server) handle(ctx context.Context, c *serverConn, req request) {
 	defer func() {
 		if cause := recover(); cause != nil { // a panic here would end the process, unlike in an HTTP handler
 			s.Log.Error("peer request failed", "kind", req.Kind, "cause", cause, "stack", string(debug.Stack()))
-			_ = conn.CloseNow() // the caller learns that the outcome is unknown
+			_ = c.conn.CloseNow() // the caller learns that the outcome is unknown
 		}
 	}()
 	ctx, stop := context.WithTimeout(ctx, time.Duration(req.TimeoutMS)*time.Millisecond)
 	defer stop()
 	res := s.dispatch(ctx, req)
 	res.ID = req.ID
-	data, err := cbor.Marshal(res)
-	if err != nil {
-		s.Log.Error("peer response encoding failed", "err", err)
-		return
+	var err error
+	if res.Result == staleConfig {
+		err = c.sendStale(ctx, res, res.version)
+	} else {
+		err = c.sendResponse(ctx, res)
 	}
-	writeCtx, stopWrite := context.WithTimeout(context.WithoutCancel(ctx), pingTimeout)
-	defer stopWrite()
-	if err := conn.Write(writeCtx, websocket.MessageBinary, data); err != nil {
+	if err != nil {
 		s.Log.Debug("peer response not sent", "err", err)
 	}
 }
@@ -170,7 +203,7 @@
 		return response{Result: rejected, Reason: notOwnerRejection}
 	}
 	if c := s.Catalog(); c != nil && req.Version < c.Version {
-		return response{Result: staleConfig, Document: c.Document}
+		return response{Result: staleConfig, Document: c.Document, version: c.Version}
 	}
 	var res response
 	var err error
@@ -212,10 +245,11 @@
 type Client struct {
 	// onNewerConfig receives the owner's configuration when it is newer than the caller's.
 	onNewerConfig func(document []byte)
-	conn          *websocket.Conn
-	stop          context.CancelFunc
-	nextID        atomic.Uint64
-	silent        atomic.Bool // a ping was not answered in time
+	sender
+	stop     context.CancelFunc
+	nextID   atomic.Uint64
+	received atomic.Int64 // messages
+	silent   atomic.Bool  // a ping was not answered in time
 
 	mu     sync.Mutex
 	calls  map[uint64]chan response // protected by mu
@@ -243,7 +277,8 @@
 	}
 	conn.SetReadLimit(maxMessageBytes)
 	runCtx, stop := context.WithCancel(ctx)
-	c := &Client{onNewerConfig: onNewerConfig, conn: conn, stop: stop, calls: map[uint64]chan response{}}
+	c := &Client{
+		onNewerConfig: onNewerConfig, sender: sender{conn: conn}, stop: stop, calls: map[uint64]chan response{}}
 	go c.pingLoop(runCtx)
 	go func() {
 		c.readLoop(runCtx)
@@ -258,17 +293,27 @@
 func (c *Client) pingLoop(ctx context.Context) {
 	ticker := time.NewTicker(pingInterval)
 	defer ticker.Stop()
+	confirmed := int64(0) // bytes that the owner had received at its last pong
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		pingCtx, stop := context.WithTimeout(ctx, pingTimeout)
+		if c.waiting.Load() > 0 {
+			continue // a ping would wait behind a message, whose time limit finds a silent owner as well
+		}
+		sent, received := c.sent.Load(), c.received.Load()
+		pingCtx, stop := context.WithTimeout(ctx, pingTimeout+transferTime(sent-confirmed))
 		err := c.conn.Ping(pingCtx)
 		timedOut := pingCtx.Err() != nil && ctx.Err() == nil
 		stop()
-		if err != nil {
+		switch {
+		case err == nil:
+			confirmed = sent
+		case timedOut && c.received.Load() > received:
+			// The pong waits behind other messages.
+		default:
 			c.silent.Store(timedOut)
 			c.stop()
 			return
@@ -289,6 +334,7 @@
 		if err := cbor.Unmarshal(data, &res); err != nil {
 			return
 		}
+		c.received.Add(1)
 		c.mu.Lock()
 		ch := c.calls[res.ID]
 		delete(c.calls, res.ID)
@@ -333,18 +379,20 @@
 		delete(c.calls, req.ID)
 		c.mu.Unlock()
 	}()
-	// A cancelled write closes the connection for all callers, so it does not depend on this caller's context.
-	writeCtx, stopWrite := context.WithTimeout(context.WithoutCancel(ctx), pingTimeout)
-	defer stopWrite()
-	if err := c.conn.Write(writeCtx, websocket.MessageBinary, data); err != nil {
-		return response{}, errors.Annotate(jobs.ErrOutcomeUnknown, err.Error())
-	}
+	sendFailed := make(chan error, 1)
+	go func() { // it may wait behind the messages of others, beyond the deadline of this caller
+		if err := c.send(ctx, data); err != nil {
+			sendFailed <- err
+		}
+	}()
 	select {
+	case err := <-sendFailed:
+		return response{}, errors.Annotate(jobs.ErrOutcomeUnknown, err.Error())
 	case res, ok := <-ch:
 		if !ok {
 			return response{}, errors.Annotate(jobs.ErrOutcomeUnknown, "the connection to the owner was lost")
 		}
-		if res.Result == staleConfig {
+		if res.Result == staleConfig && res.Document != nil {
 			c.onNewerConfig(res.Document)
 		}
 		return res, res.err()
