Soak restarts of nodes and workers

TestRestartSoak plays the clients and checks of TestCancelSoak with nodes that start again while the store is silent, workers that start again under their IDs after 0.02 to 1 s, and takeovers on links of 10 Mbit/s, beside freezes of the owner, kills, cuts, outages and lost answers. Cancels on open connections beside a paused owner are in both. It also checks that no task is started beside an active run or after an acknowledged one is done. The workers of the stand-in can crash as a machine without power does: connections from before and new ones stay open and silent until it is up again.

--- a/scenarios/cancel_client_test.go
+++ b/scenarios/cancel_client_test.go
@@ -28,6 +28,9 @@
 	cancelledTaskMS   = 700
 	maxKeptJobSteps   = 8
 	maxKeptTaskMS     = 700
+	// A wide job starts more tasks at a time than there are connections to the workers, so that some of them wait.
+	wideJobTasks = 32
+	wideTaskMS   = 60
 )
 
 // cancelJob is a job of a client and what has been requested for it.
@@ -139,6 +142,9 @@
 		j.repeatAfter = time.Duration(1000+c.rng.IntN(3000)) * time.Millisecond
 	}
 	j.body = jobBody(steps, 1+c.rng.IntN(3), taskMS)
+	if c.wideJobs && j.cancelAfter == 0 {
+		j.body = jobBody(2, wideJobTasks, wideTaskMS)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.jobs = append(c.jobs, j)
--- a/scenarios/cancel_soak_test.go
+++ b/scenarios/cancel_soak_test.go
@@ -41,13 +41,18 @@
 // platform's protocol. Once the faults are over, no task of a job may run whose cancel was acknowledged. Rejected jobs
 // must not run, and accepted jobs that nobody cancels must complete. CANCEL_SOAK_SEEDS=FIRST:COUNT runs other seeds.
 func TestCancelSoak(t *testing.T) {
-	runSeeds(t, "CANCEL_SOAK_SEEDS", cancelSoakSeeds, func(t *testing.T, seed uint64) { newCancelSoak(t, seed).run() })
+	runSeeds(t, "CANCEL_SOAK_SEEDS", cancelSoakSeeds, func(t *testing.T, seed uint64) {
+		newCancelSoak(t, "cancel-soak", seed, cancelSoakFaultKinds).run()
+	})
 }
 
 // cancelSoak is one run of the test with one seed.
 type cancelSoak struct {
 	*soak
-	seed uint64
+	seed  uint64
+	kinds []faultKind // each as often as its weight
+	// wideJobs makes the jobs that are kept wide.
+	wideJobs bool
 
 	// Only the goroutine of the test uses these.
 	disturbed map[*soakNode]bool // nodes whose process is frozen, stopping or down
@@ -63,10 +68,10 @@
 	jobs   []*cancelJob       // protected by mu
 }
 
-func newCancelSoak(t *testing.T, seed uint64) *cancelSoak {
+func newCancelSoak(t *testing.T, name string, seed uint64, kinds []faultKind) *cancelSoak {
 	nodes := cancelSoakMinNodes + int(seed)%(cancelSoakMaxNodes-cancelSoakMinNodes+1)
 	return &cancelSoak{
-		soak: newSoak(t, "cancel-soak", seed, nodes), seed: seed, stopJobs: make(chan struct{}),
+		soak: newSoak(t, name, seed, nodes), seed: seed, kinds: kinds, stopJobs: make(chan struct{}),
 		disturbed: map[*soakNode]bool{}, frozen: map[*soakNode]bool{},
 	}
 }
@@ -121,7 +126,7 @@
 	var schedule []scheduledAction
 	begin := time.Now()
 	for range cancelSoakFaults {
-		kind := cancelSoakFaultKinds[s.rng.IntN(len(cancelSoakFaultKinds))]
+		kind := s.kinds[s.rng.IntN(len(s.kinds))]
 		target := s.nodes[s.rng.IntN(len(s.nodes))]
 		mode := []cutMode{cutSilent, cutReset, cutOpen}[s.rng.IntN(3)]
 		at := time.Duration(s.rng.Int64N(int64(cancelSoakFaultTime * 7 / 8)))
@@ -166,6 +171,12 @@
 	}
 	what := fmt.Sprint(kind, " ", target.name)
 	switch kind {
+	case restartInSilence:
+		return s.restartInSilence()
+	case restartWorker:
+		return s.restartWorker()
+	case thinTakeover:
+		return s.thinTakeover(target)
 	case cutOwner, cutNode:
 		target.store.setMode(mode)
 		return fmt.Sprint(what, " ", mode), func() { target.store.setMode(cutNone) }
@@ -280,6 +291,7 @@
 		counts["jobs"]++
 		s.evaluateCancel(j, runsByJob[j.id], logs, counts)
 		s.evaluateStates(j, runsByJob[j.id], logs, counts)
+		s.evaluateRepeats(j, runsByJob[j.id], logs, counts)
 		if j.rejected() {
 			counts["jobs rejected"]++
 			if len(runsByJob[j.id]) > 0 {
--- a/scenarios/relay_test.go
+++ b/scenarios/relay_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -29,9 +31,27 @@
 	mu    sync.Mutex
 	mode  cutMode
 	conns map[*relayConn]bool
+	// bytesPerSecond limits each direction of all connections together; 0 is no limit.
+	bytesPerSecond atomic.Int64
+	up, down       sync.Mutex // held while a chunk is on a limited link
+}
+
+// limit sets the bandwidth of the relay in bytes per second; 0 removes the limit.
+func (r *relay) limit(bytesPerSecond int64) { r.bytesPerSecond.Store(bytesPerSecond) }
+
+// transfer waits as long as a chunk takes on a limited link.
+func (r *relay) transfer(direction *sync.Mutex, bytes int) {
+	rate := r.bytesPerSecond.Load()
+	if rate == 0 {
+		return
+	}
+	direction.Lock()
+	defer direction.Unlock()
+	time.Sleep(time.Duration(int64(bytes) * int64(time.Second) / rate))
 }
 
 type relayConn struct {
+	relay          *relay
 	client, server net.Conn
 	mu             sync.Mutex
 	silent         bool
@@ -89,24 +109,27 @@
 		client.Close()
 		return
 	}
-	c := &relayConn{client: client, server: server, silent: mode == cutSilent}
+	c := &relayConn{relay: r, client: client, server: server, silent: mode == cutSilent}
 	r.mu.Lock()
 	r.conns[c] = true
 	r.mu.Unlock()
 	var done sync.WaitGroup
-	done.Go(func() { c.copy(server, client) })
-	done.Go(func() { c.copy(client, server) })
+	done.Go(func() { c.copy(server, client, &r.up) })
+	done.Go(func() { c.copy(client, server, &r.down) })
 	done.Wait()
 	r.mu.Lock()
 	delete(r.conns, c)
 	r.mu.Unlock()
 }
 
-func (c *relayConn) copy(dst, src net.Conn) {
+func (c *relayConn) copy(dst, src net.Conn, direction *sync.Mutex) {
 	defer c.close()
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
+		if n > 0 {
+			c.relay.transfer(direction, n)
+		}
 		if n > 0 && !c.isSilent() {
 			if _, err := dst.Write(buf[:n]); err != nil {
 				return
