Take a worker over from the directory only once its announced incarnation answers

Seen: by a test: an entry of another writer with the ID of an idle worker and a later start time keeps that worker without work until the owner changes. Its own entries, which follow within 1.5 s, count as those of an earlier incarnation. Evidence: without the change TestWorkerOutlivesAnEntryWithALaterStart prints 'not within 20s: job a is completed'. Change: each later incarnation of a worker that is known with its address has to answer first. The worker's own entry, of the known incarnation, ends the attempt.

--- a/internal/owner/reborn_test.go
+++ b/internal/owner/reborn_test.go
@@ -369,3 +369,26 @@
 		h.checkNothingRanTwice(rt)
 	})
 }
+
+// Guards against a worker that gets no work for good because another writer's entry with its ID and a later start time came
+// between its own.
+func TestWorkerOutlivesAnEntryWithALaterStart(t *testing.T) {
+	for _, bound := range []bool{false, true} {
+		t.Run(fmt.Sprintf("requests bound %v", bound), func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			h.fleet.BindIncarnations = bound
+			worker := h.addWorker("w1", 20*time.Millisecond)
+			o := h.startOwner(true)
+			h.await("the worker is known", func() bool { return worker.Fence() > 0 })
+			own := h.workerInfos["w1"]
+			odd := own
+			odd.Incarnation = 2
+			h.publish(odd)
+			time.Sleep(2 * workerPollInterval) // it is read
+			h.publish(own)
+			h.submit(o, newJob("a", 1))
+			h.awaitState(o, "a", workload.Completed)
+		})
+	}
+}
--- a/internal/owner/registration.go
+++ b/internal/owner/registration.go
@@ -110,15 +110,15 @@
 	if w.info.Incarnation > info.Incarnation {
 		return // a stale record of an earlier incarnation
 	}
-	if w.info.Incarnation < info.Incarnation && len(w.runs) > 0 && w.info.Address != "" {
+	if w.info.Incarnation < info.Incarnation && w.info.Address != "" {
 		o.awaitAnnounced(w, info)
 		return
 	}
 	o.register(w, info)
 }
 
-// awaitAnnounced asks a later incarnation, which the directory announces, to answer. Until then the known one keeps its runs
-// and their leases, because the entry may be wrong.
+// awaitAnnounced asks a later incarnation, which the directory announces, to answer. Until then the known one keeps its entry,
+// its runs and their leases, because the announcement may be wrong.
 func (o *Owner) awaitAnnounced(w *worker, info workers.Info) {
 	known := w.announced
 	w.announced = &info
