Apply the owner's configuration also when its call has ended

Later calls get ErrStaleConfig without the document. Evidence: without the change TestDocumentArrivesAfterItsCallHasEnded prints '0 bytes of the document were received by the time of that error, want 250000', 2 of 2 times. Change: the reader of the connection applies the document before it hands the response on. A panic in decoding it is an error, since that reader is no HTTP handler. Measured: go test -race ./internal/link ./internal/entry.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/pollenford/pollenford/internal/catalog"
+	"github.com/pollenford/pollenford/internal/guard"
 	"github.com/pollenford/pollenford/internal/jobs"
 	"github.com/pollenford/pollenford/internal/leader"
 	"github.com/pollenford/pollenford/internal/link"
@@ -244,7 +245,7 @@
 
 // applyOwnerConfig activates a configuration from the owner unless the active one has the same or a newer version.
 func (e *Entry) applyOwnerConfig(document []byte) {
-	c, err := e.DecodeCatalog(document)
+	c, err := e.decodeOwnerConfig(document)
 	if err != nil {
 		e.Log.Error("configuration from the owner rejected: decoding failed", "err", err)
 		return
@@ -252,6 +253,12 @@
 	e.SetCatalog(c)
 }
 
+// decodeOwnerConfig decodes a configuration. A panic is an error: it would end the process, outside of an HTTP handler.
+func (e *Entry) decodeOwnerConfig(document []byte) (c *catalog.Catalog, err error) {
+	defer guard.Recover(e.Log, "configuration from the owner", &err)
+	return e.DecodeCatalog(document)
+}
+
 // owner returns the owner's service for a request, or nil if there is no connection to the owner.
 func (e *Entry) owner(a *Admission) jobs.Service {
 	if local := e.LocalOwner(); local != nil {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -335,6 +335,10 @@
 			return
 		}
 		c.received.Add(1)
+		if res.Result == staleConfig && res.Document != nil {
+			// Here rather than in the call, which may have ended: the document is sent once, and later responses rely on it.
+			c.onNewerConfig(res.Document)
+		}
 		c.mu.Lock()
 		ch := c.calls[res.ID]
 		delete(c.calls, res.ID)
@@ -392,9 +396,6 @@
 		if !ok {
 			return response{}, errors.Annotate(jobs.ErrOutcomeUnknown, "the connection to the owner was lost")
 		}
-		if res.Result == staleConfig && res.Document != nil {
-			c.onNewerConfig(res.Document)
-		}
 		return res, res.err()
 	case <-ctx.Done():
 		return response{}, errors.Annotate(jobs.ErrOutcomeUnknown, "the owner did not answer in time")
--- a/internal/link/thin_test.go
+++ b/internal/link/thin_test.go
@@ -130,6 +130,36 @@
 	}
 }
 
+// Guards against an entry that never gets the newest configuration because the call whose response carried it had ended before it
+// arrived: a connection carries the document once, and the error of a later call says that it is there.
+func TestDocumentArrivesAfterItsCallHasEnded(t *testing.T) {
+	const size = 250_000 // 0.2 s of the link
+	current := catalog.New(2, nil, nil, nil, catalog.HTTPLimits{})
+	current.Document = bytes.Repeat([]byte("d"), size)
+	server := httptest.NewServer(&Server{
+		Incarnation: "one", Owner: func() jobs.Service { return &acceptingService{} },
+		Catalog: func() *catalog.Catalog { return current }, Log: hclog.NewNullLogger(),
+	})
+	t.Cleanup(server.Close)
+	var received atomic.Int64
+	client, err := Dial(t.Context(), thinLink(t, strings.TrimPrefix(server.URL, "http://")), "one",
+		func(document []byte) { received.Add(int64(len(document))) }, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := client.AtVersion(1).Submit(ctx, &workload.Job{ID: "a"}); !errors.Is(err, jobs.ErrOutcomeUnknown) {
+		t.Fatalf("the call got its answer: %v", err)
+	}
+	if err := client.AtVersion(1).Submit(t.Context(), &workload.Job{ID: "a"}); !errors.Is(err, jobs.ErrStaleConfig) {
+		t.Errorf("%v, want %v", err, jobs.ErrStaleConfig)
+	}
+	if n := received.Load(); n != size {
+		t.Errorf("%d bytes of the document were received by the time of that error, want %d", n, size)
+	}
+}
+
 // acceptingService accepts every job.
 type acceptingService struct{ service }
 
