--- a/internal/link/thin_test.go
+++ b/internal/link/thin_test.go
@@ -81,6 +81,24 @@
 	}
 }
 
+// connectThin returns a client connected over a thin link to an owner that accepts every job, with configuration version 2
+// in a document of the given size.
+func connectThin(t *testing.T, documentBytes int, onNewerConfig func([]byte), onLost func()) *Client {
+	t.Helper()
+	current := catalog.New(2, nil, nil, nil, catalog.HTTPLimits{})
+	current.Document = bytes.Repeat([]byte("d"), documentBytes)
+	server := httptest.NewServer(&Server{
+		Incarnation: "one", Owner: func() jobs.Service { return &acceptingService{} },
+		Catalog: func() *catalog.Catalog { return current }, Log: hclog.NewNullLogger(),
+	})
+	t.Cleanup(server.Close)
+	client, err := Dial(t.Context(), thinLink(t, strings.TrimPrefix(server.URL, "http://")), "one", onNewerConfig, onLost)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return client
+}
+
 // Guards against a connection to the owner that is given up, with the calls on it, because large messages take longer on a
 // thin link than the limits of small ones: jobs of the largest body one way, the newest configuration the other way.
 func TestLargeMessagesOnAThinLink(t *testing.T) {
@@ -97,19 +115,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			current := catalog.New(2, nil, nil, nil, catalog.HTTPLimits{})
-			current.Document = bytes.Repeat([]byte("d"), size)
-			server := httptest.NewServer(&Server{
-				Incarnation: "one", Owner: func() jobs.Service { return &acceptingService{} },
-				Catalog: func() *catalog.Catalog { return current }, Log: hclog.NewNullLogger(),
-			})
-			t.Cleanup(server.Close)
 			var lost atomic.Bool
-			client, err := Dial(t.Context(), thinLink(t, strings.TrimPrefix(server.URL, "http://")), "one", func([]byte) {},
-				func() { lost.Store(true) })
-			if err != nil {
-				t.Fatal(err)
-			}
+			client := connectThin(t, size, func([]byte) {}, func() { lost.Store(true) })
 			job := &workload.Job{ID: "a"}
 			if c.want == nil {
 				job.Spec = strings.Repeat("s", size)
@@ -134,19 +141,8 @@
 // arrived: a connection carries the document once, and the error of a later call says that it is there.
 func TestDocumentArrivesAfterItsCallHasEnded(t *testing.T) {
 	const size = 250_000 // 0.2 s of the link
-	current := catalog.New(2, nil, nil, nil, catalog.HTTPLimits{})
-	current.Document = bytes.Repeat([]byte("d"), size)
-	server := httptest.NewServer(&Server{
-		Incarnation: "one", Owner: func() jobs.Service { return &acceptingService{} },
-		Catalog: func() *catalog.Catalog { return current }, Log: hclog.NewNullLogger(),
-	})
-	t.Cleanup(server.Close)
 	var received atomic.Int64
-	client, err := Dial(t.Context(), thinLink(t, strings.TrimPrefix(server.URL, "http://")), "one",
-		func(document []byte) { received.Add(int64(len(document))) }, func() {})
-	if err != nil {
-		t.Fatal(err)
-	}
+	client := connectThin(t, size, func(document []byte) { received.Add(int64(len(document))) }, func() {})
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	if err := client.AtVersion(1).Submit(ctx, &workload.Job{ID: "a"}); !errors.Is(err, jobs.ErrOutcomeUnknown) {
