--- a/review/sim2/cases.go
+++ b/review/sim2/cases.go
@@ -423,3 +423,53 @@
 	}
 	return outcome{false, fmt.Sprintf("%d starts, no two runs of a task at the same time", len(d.fleet.starts))}, nil
 }
+
+// checkBegins hands in a job of one short task and checks that it has begun after finish_s.
+func (d *deployment) checkBegins(prefix string) (outcome, error) {
+	job := d.submit(prefix, clientKey, 50, 500*time.Millisecond, step{Count: 1, CPU: 100, MemMB: 16})
+	time.Sleep(finishTime)
+	begun := len(d.fleet.startsOf(job.id)) > 0
+	what := fmt.Sprintf("a job of one task on idle workers: accepted %v, begun %v after %v", !job.acceptedAt.IsZero(), begun, finishTime)
+	if !begun {
+		return outcome{true, "LOST: " + what}, nil
+	}
+	return outcome{false, what}, nil
+}
+
+// playClose: the workers close the connection after each response.
+func playClose(d *deployment, trouble bool) (outcome, error) {
+	const prefix = "/puxa400/"
+	d.fleet.closesConnections.Store(trouble)
+	for i := range 4 {
+		if _, err := d.addMachine(fmt.Sprintf("m-0a3f%d", i), "huvo11a", "ie-a", 16000, "a", "r1-1"); err != nil {
+			return outcome{}, err
+		}
+	}
+	if err := d.begin(route{name: "r-4jcda9r", prefix: prefix, service: "huvo11a"}); err != nil {
+		return outcome{}, err
+	}
+	time.Sleep(4 * time.Second) // until the nodes are in touch
+	return d.checkBegins(prefix)
+}
+
+// playLarge: a job of 4,000 tasks on workers with IDs of 64 characters, beside a small job.
+func playLarge(d *deployment, trouble bool) (outcome, error) {
+	const prefix = "/puxa400/"
+	length := 10
+	if trouble {
+		length = 64
+	}
+	for i := range 14 {
+		id := fmt.Sprintf("i-%0*d", length-2, i)
+		if _, err := d.fleet.addWorker(id, fmt.Sprintf("m-0a3f%d", i), "huvo11a", "ie-a", 16000, "a", "r1-1"); err != nil {
+			return outcome{}, err
+		}
+	}
+	if err := d.begin(route{name: "r-4jcda9r", prefix: prefix, service: "huvo11a"}); err != nil {
+		return outcome{}, err
+	}
+	time.Sleep(4 * time.Second) // until the nodes are in touch
+	d.submit(prefix, clientKey, 1, 20*time.Second, step{Count: 4000, CPU: 50, MemMB: 10})
+	time.Sleep(3 * time.Second)
+	return d.checkBegins(prefix)
+}
--- a/review/sim2/main.go
+++ b/review/sim2/main.go
@@ -24,6 +24,8 @@
 	"anonymous": playAnonymous,
 	"upkeep":    playUpkeep,
 	"lease":     playLease,
+	"close":     playClose,
+	"large":     playLarge,
 }
 
 // limit is the longest time that a case may take.
--- a/review/sim2/worker.go
+++ b/review/sim2/worker.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pollenford/pollenford/internal/topic"
@@ -45,6 +46,9 @@
 	store *topictest.Store
 	rec   *recorder
 
+	// closesConnections makes the workers close the connection after each response.
+	closesConnections atomic.Bool
+
 	mu      sync.Mutex
 	workers []*worker
 	starts  []*startRecord
@@ -266,6 +270,9 @@
 		<-r.Context().Done()
 		return
 	}
+	if w.f.closesConnections.Load() {
+		res.Header().Set("Connection", "close")
+	}
 	res.Header().Set("Content-Type", "application/json")
 	res.WriteHeader(status)
 	_ = json.NewEncoder(res).Encode(answer) // fails only if the caller has gone
