--- a/review/sim2/cases.go
+++ b/review/sim2/cases.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -328,6 +329,9 @@
 	storeUpAt    = 5840 * time.Millisecond
 	secondCut    = 5500 * time.Millisecond
 	restartDelay = 500 * time.Millisecond
+
+	// leaseRounds bounds the rounds. The overlap of two runs depends on how long before the kill the lease was renewed.
+	leaseRounds = 4
 )
 
 // playLease: a worker is cut off, and again just before an outage of the store ends and the owner is killed.
@@ -345,27 +349,43 @@
 	for i := range 3 {          // some workers stay free for them
 		d.submit(prefix, clientKey, i, 0, step{Count: workers - 3, CPU: 1000, MemMB: 256, LongRunning: true, AntiAffinity: 1})
 	}
-	time.Sleep(2 * time.Second)
-	d.fleet.mu.Lock()
-	if len(d.fleet.starts) == 0 {
-		d.fleet.mu.Unlock()
-		return outcome{}, errors.New("nothing was started")
+	for round := range leaseRounds {
+		time.Sleep(3 * time.Second)
+		w := d.workerOfLastingTask()
+		if w == nil {
+			return outcome{}, errors.New("no lasting task runs")
+		}
+		// A short task on every worker ends while one of them is cut off.
+		d.submit(prefix, clientKey, 10+round, 1200*time.Millisecond, step{Count: workers, CPU: 200, MemMB: 64, AntiAffinity: 1})
+		time.Sleep(300 * time.Millisecond)
+		if trouble {
+			if err := d.cutTwice(w); err != nil {
+				return outcome{}, err
+			}
+		} else {
+			time.Sleep(ownerKillAt + secondCut)
+		}
+		time.Sleep(3 * time.Second)
+		if o, err := d.checkTwice(); err != nil || o.broken || round == leaseRounds-1 {
+			return o, err
+		}
 	}
-	id := d.fleet.starts[0].Worker
-	d.fleet.mu.Unlock()
-	// A short task on every worker ends while one of them is cut off.
-	d.submit(prefix, clientKey, 10, 1200*time.Millisecond, step{Count: workers, CPU: 200, MemMB: 64, AntiAffinity: 1})
-	time.Sleep(300 * time.Millisecond)
-	if trouble {
-		i := slices.IndexFunc(d.machines, func(m *machine) bool { return m.worker.id == id })
-		if err := d.cutTwice(d.machines[i].worker); err != nil {
-			return outcome{}, err
+	return outcome{}, errors.New("no round was played")
+}
+
+// workerOfLastingTask returns the worker of the first lasting task that runs, or nil.
+func (d *deployment) workerOfLastingTask() *worker {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, m := range d.machines {
+		m.worker.mu.Lock()
+		lasting := slices.ContainsFunc(slices.Collect(maps.Values(m.worker.runs)), func(r *run) bool { return r.endsAt.IsZero() })
+		m.worker.mu.Unlock()
+		if lasting {
+			return m.worker
 		}
-	} else {
-		time.Sleep(ownerKillAt + secondCut)
 	}
-	time.Sleep(3 * time.Second)
-	return d.checkTwice()
+	return nil
 }
 
 // cutTwice cuts the worker off, takes the store down before the worker is back, and kills the owner and cuts the worker off
