Grant no lease while a successor may read the worker's recorded loss

Cause: a record of a loss says when the worker's last lease ends. The owner deleted it when the worker answered again, and granted leases before the deletion was acknowledged: handleHeartbeat waited for it in one of three branches, and the one for listed run ends gave up after commitTimeout. Evidence: in the record of the script the worker is back at 9.1 s and cut off again at 13.1 s, while the store rejects all calls (9.1 to 13.2 s); run 2 begins at 16.3 s, what the recorded rest of the lease allows after the recovery, and run 1 goes on until 16.7 s.

Change: the owner keeps, by worker ID, the losses that a successor may read, from when the record is queued until its deletion is acknowledged, also for workers that were removed meanwhile. extendLease, which every lease passes, grants none until then, and a start that would carry one is not sent.

TestNoLeaseBesideARecordedLoss failed without the change: "run 2 of lasting.0.0.0 was started on w2 while run 1 was active on w1" ("a run ended", "a run ended, cut off once more").

--- a/internal/owner/loss.go
+++ b/internal/owner/loss.go
@@ -20,11 +20,21 @@
 // lossKeyPrefix is the key prefix of recorded losses.
 const lossKeyPrefix = "l/"
 
+// lossRecord is the record of a worker's loss, from when it is queued until its deletion is acknowledged. A successor may
+// read it all that time, so the worker gets no lease.
+type lossRecord struct {
+	deleting bool // the deletion is queued
+}
+
+// mayReadLoss reports whether a successor may read a record of the worker's loss.
+func (o *Owner) mayReadLoss(id string) bool { return o.losses[id] != nil }
+
+// recordLoss records the loss of a worker with runs.
 func (o *Owner) recordLoss(w *worker) {
 	if len(w.runs) == 0 {
 		return
 	}
-	w.lossRecorded = true
+	o.losses[w.info.ID] = &lossRecord{}
 	o.queueRecord(topic.Record{Key: lossKeyPrefix + w.info.ID, Value: o.encode(loss{
 		Incarnation: w.info.Incarnation, LeaseExpiresInMS: max(0, time.Until(w.leaseUntil).Milliseconds()),
 	})})
@@ -32,10 +42,18 @@
 
 // clearLoss deletes the record of a worker's loss.
 func (o *Owner) clearLoss(w *worker) {
-	if w.lossRecorded {
-		w.lossRecorded = false
-		o.queueRecord(topic.Record{Key: lossKeyPrefix + w.info.ID})
+	id := w.info.ID
+	record := o.losses[id]
+	if record == nil || record.deleting {
+		return
 	}
+	record.deleting = true
+	o.queueRecord(topic.Record{Key: lossKeyPrefix + id})
+	o.afterCommit(func() {
+		if o.losses[id] == record { // not recorded again since
+			delete(o.losses, id)
+		}
+	})
 }
 
 // loadLoss limits the wait for a worker that an earlier owner lost: its lease was not renewed after the record.
@@ -45,7 +63,7 @@
 		return errors.Trace(err)
 	}
 	w := o.getOrCreateWorker(id)
-	w.lossRecorded = true
+	o.losses[id] = &lossRecord{}
 	w.info.Incarnation = max(w.info.Incarnation, l.Incarnation)
 	if until := o.recoveredAt.Add(time.Duration(l.LeaseExpiresInMS) * time.Millisecond); until.Before(w.leaseUntil) {
 		w.leaseUntil = until
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -107,6 +107,7 @@
 	earlyCancels     earlyCancels
 	workers          map[string]*worker
 	workerIndex      workerIndex
+	losses           map[string]*lossRecord       // by worker ID, also of workers that were removed
 	usage            map[string]catalog.Resources // resources of all runs that may be active, by organisation
 	recoveredAt      time.Time
 	lastTurn         time.Duration // boot-time clock of the last check for a pause, first when the records were read
@@ -164,7 +165,7 @@
 func New(ctx context.Context, cfg Config, term *leader.Term) *Owner {
 	o := &Owner{
 		cfg: cfg, term: term, log: cfg.Log.With("fence", term.Fence), events: make(chan func(), eventQueueSize),
-		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{},
+		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{}, losses: map[string]*lossRecord{},
 		usage: map[string]catalog.Resources{}, recoveredAt: time.Now(), loggedOffsets: map[string]int64{},
 		metrics: newMetrics(cfg.Scope), tickets: map[stepKey]*tickets{}, demands: map[string]*pool.Demand{},
 		recoveryLimits: defaultRecoveryLimits,
--- a/internal/owner/registration.go
+++ b/internal/owner/registration.go
@@ -196,7 +196,7 @@
 		return // none was requested
 	}
 	w.leaseUntil = latest(w.leaseUntil, time.Now().Add(leaseExpiryBound(o.cfg.Timing.MaxLease)))
-	if w.lossRecorded {
+	if o.mayReadLoss(w.info.ID) {
 		o.recordLoss(w)
 	}
 }
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -137,7 +137,7 @@
 	if w.runs[p.taskName] != p {
 		return // the worker has restarted since
 	}
-	if p.leaving() || !w.sessionEstablished || !o.leading() {
+	if p.leaving() || !o.mayExtendLease(w) {
 		o.loseRun(w, p, workload.NeverStarted, "start not requested")
 		return
 	}
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -91,7 +91,6 @@
 	leaseUntil   time.Time
 	session      *session
 	health       health
-	lossRecorded bool
 	cordoned     bool // accepts no new work: maintenance or a move is in preparation
 	backoffUntil time.Time
 	idleSince    time.Time // when the latest of its runs ended, or when it was first seen
@@ -272,9 +271,7 @@
 	if w.sessionEstablished && w.endsListed {
 		request.AcknowledgedEnds = w.lastEndRecorded
 	}
-	if w.sessionEstablished && o.leading() {
-		request.LeaseUntilMS = o.extendLease(w)
-	}
+	request.LeaseUntilMS = o.extendLease(w)
 	w.session.awaitingCommitSince = time.Time{}
 	select {
 	case w.session.nextRequest <- request:
@@ -282,10 +279,16 @@
 	}
 }
 
-// extendLease updates leaseUntil for a new lease and returns the lease's end on the worker's clock in milliseconds. It
-// returns 0 if that clock is not known yet.
+// mayExtendLease reports whether the worker may get a new lease. A successor that reads a record of the worker's loss takes
+// the lease for the last one.
+func (o *Owner) mayExtendLease(w *worker) bool {
+	return w.sessionEstablished && w.clockMS != 0 && o.leading() && !o.mayReadLoss(w.info.ID)
+}
+
+// extendLease updates leaseUntil for a new lease and returns the lease's end on the worker's clock in milliseconds. Every
+// lease is granted here; it returns 0, which renews nothing, if there may be none.
 func (o *Owner) extendLease(w *worker) int64 {
-	if w.clockMS == 0 {
+	if !o.mayExtendLease(w) {
 		return 0
 	}
 	now := time.Now()
