Resume a worker's session once for each result of a heartbeat

Cause: two run ends that waited for the same append left two callbacks, besides the one of commitTimeout, and each resumed the session. The surplus request stayed in nextRequest from then on, so that each heartbeat was sent before the decisions on the one before it: after a loss the next heartbeat carried a lease and acknowledged ends that no response had just listed. Evidence: in the test's log the heartbeats 7 and 8 are the same request, and every later one follows at once.

Change: a session counts the results of its heartbeats. resumeSession sends one request for each, and a callback resumes only for the result that it was made for. One function, resumeAfterCommit, waits for the store, for run ends and for a loss alike, so that a worker is also asked again after commitTimeout when nothing ended. Acknowledging ends is a callback of its own. The double of the workers loses a heartbeat that it holds open when the worker is cut off, as a link does.

TestHeartbeatAfterALossCarriesNoLease failed without the change: "heartbeat 12 carries a lease, although heartbeat 11 was not answered".

--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -60,6 +60,7 @@
 	ownerStore  topic.Store // the store that owners use; store unless a test wraps it
 	store       *topictest.Store
 	fleet       *workertest.Fleet
+	workers     workers.Client // what owners use; fleet unless a test wraps it
 	control     instances.Control
 	advice      advice.Adviser
 	catalog     atomic.Pointer[catalog.Catalog]
@@ -72,7 +73,7 @@
 func newHarness(t testing.TB) *harness {
 	h := &harness{t: t, store: &topictest.Store{}, fleet: &workertest.Fleet{}, workerInfos: map[string]workers.Info{}}
 	h.setLimit(catalog.Resources{})
-	h.scope, h.ownerStore = tally.NoopScope, h.store
+	h.scope, h.ownerStore, h.workers = tally.NoopScope, h.store, h.fleet
 	return h
 }
 
@@ -162,7 +163,7 @@
 // config returns the configuration of the next owner.
 func (h *harness) config(log hclog.Logger) Config {
 	return Config{
-		Store: h.ownerStore, Workers: h.fleet, Control: h.control, Advice: h.advice, Codec: codec{}, Catalog: h.catalog.Load,
+		Store: h.ownerStore, Workers: h.workers, Control: h.control, Advice: h.advice, Codec: codec{}, Catalog: h.catalog.Load,
 		OnCatalog: func(*catalog.Catalog) {}, Name: fmt.Sprint("owner-", h.fence),
 		MaxRecordBytes: 64 << 10, MaxAppendBytes: 1 << 20, Scope: h.scope,
 		Timing: Timing{MaxLease: 10 * time.Second, StopTime: 50 * time.Millisecond, StatusRetention: time.Minute,
--- a/internal/owner/lease_test.go
+++ b/internal/owner/lease_test.go
@@ -40,6 +40,7 @@
 				h.submit(o, newJob("short", 1))
 				h.await("the tasks run", func() bool { return len(w.Running()) == 2 })
 				h.addWorker("w2", 0)
+				time.Sleep(2 * heartbeatPollTimeout)
 				w.SetUnresponsive(true)
 				h.await("the loss is recorded", func() bool { return h.hasRecord(lossKeyPrefix + "w1") })
 				time.Sleep(100 * time.Millisecond)
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -33,8 +33,8 @@
 	maxRenewalAge = 6 * time.Second
 	// maxClockDrift is the fraction by which a worker's clock may run slow.
 	maxClockDrift = 0.02
-	// commitTimeout is how long a session waits for run ends to be recorded before it renews the lease without
-	// acknowledging them.
+	// commitTimeout is how long a session waits for the decisions on a heartbeat to be recorded before it sends the next
+	// one, which acknowledges no run end that is not recorded.
 	commitTimeout = 700 * time.Millisecond
 )
 
@@ -96,13 +96,16 @@
 	idleSince    time.Time // when the latest of its runs ended, or when it was first seen
 }
 
-// session sends heartbeats to one incarnation of a worker.
+// session sends heartbeats to one incarnation of a worker. The result of each lets exactly one other follow.
 type session struct {
 	w           *worker
 	target      workers.Target
 	cancel      context.CancelFunc
 	nextRequest chan workers.HeartbeatRequest
-	// awaitingCommitSince is set while the session waits for run ends to be recorded.
+	// results counts the results processed; resumed reports whether the heartbeat after the latest one may be sent.
+	results int
+	resumed bool
+	// awaitingCommitSince is set while the session waits for the decisions on the latest result to be recorded.
 	awaitingCommitSince time.Time
 }
 
@@ -126,7 +129,7 @@
 		info = *w.announced
 	}
 	w.session = &session{
-		w: w, cancel: cancel, nextRequest: make(chan workers.HeartbeatRequest, 1),
+		w: w, cancel: cancel, nextRequest: make(chan workers.HeartbeatRequest, 1), resumed: true,
 		target: workers.Target{ID: info.ID, Address: info.Address, Incarnation: info.Incarnation, Fence: o.term.Fence},
 	}
 	go o.runSession(ctx, w.session)
@@ -163,6 +166,8 @@
 	if w.session != s {
 		return
 	}
+	s.results++
+	s.resumed = false
 	switch found := incarnationFound(response.Incarnation, err); {
 	case w.announced != nil && found != 0:
 		o.resolveAnnounced(w, found)
@@ -184,8 +189,7 @@
 		return
 	}
 	w.clockMS, w.clockAt = response.ClockMS, received
-	first := !w.sessionEstablished
-	if first {
+	if !w.sessionEstablished {
 		o.clearLoss(w)
 		o.log.Info("worker session established", "worker", w.info.ID,
 			"running", len(response.Running), "ended", len(response.Ended))
@@ -196,28 +200,35 @@
 	w.endsListed = len(response.Ended) > 0
 	newEnds := o.processRunEnds(w, response.Ended)
 	o.reconcileRuns(w, response, sent)
-	switch {
-	case newEnds || w.lastEndSeen > w.lastEndRecorded:
-		lastEnd, incarnation := w.lastEndSeen, w.info.Incarnation
-		s.awaitingCommitSince = time.Now()
-		o.afterCommit(func() {
-			if w.session == s {
-				if w.info.Incarnation == incarnation {
-					w.lastEndRecorded = max(w.lastEndRecorded, lastEnd)
-				}
-				o.resumeSession(w, w.pollTimeout())
-			}
-		})
-	case first:
-		// The first heartbeat renewed no lease: the record of a loss must be deleted before a new lease is granted.
-		o.afterCommit(func() {
-			if w.session == s {
-				o.resumeSession(w, 0)
-			}
-		})
-	default:
-		o.resumeSession(w, w.pollTimeout())
+	if newEnds {
+		o.acknowledgeEnds(w)
+	}
+	if w.lastEndSeen > w.lastEndRecorded || o.mayReadLoss(w.info.ID) {
+		o.resumeAfterCommit(s)
+		return
 	}
+	o.resumeSession(w, w.pollTimeout())
+}
+
+// acknowledgeEnds lets the session acknowledge the run ends seen so far once they are recorded.
+func (o *Owner) acknowledgeEnds(w *worker) {
+	lastEnd, incarnation := w.lastEndSeen, w.info.Incarnation
+	o.afterCommit(func() {
+		if w.info.Incarnation == incarnation {
+			w.lastEndRecorded = max(w.lastEndRecorded, lastEnd)
+		}
+	})
+}
+
+// resumeAfterCommit resumes a session once all decisions made so far are recorded, or after commitTimeout.
+func (o *Owner) resumeAfterCommit(s *session) {
+	result := s.results
+	s.awaitingCommitSince = time.Now()
+	o.afterCommit(func() {
+		if s.w.session == s && s.results == result {
+			o.resumeSession(s.w, s.w.pollTimeout())
+		}
+	})
 }
 
 // incarnationFound returns the incarnation that a worker's reply names, or that was found in place of the addressed one;
@@ -264,19 +275,19 @@
 	}
 }
 
-// resumeSession lets a session send its next heartbeat. It acknowledges only what the last response listed: a repeated
-// acknowledgement could reach the next incarnation, which numbers its ends anew.
+// resumeSession lets a session send its next heartbeat, unless it was resumed since the latest result. It acknowledges only
+// what the last response listed: a repeated acknowledgement could reach the next incarnation, which numbers its ends anew.
 func (o *Owner) resumeSession(w *worker, pollTimeout time.Duration) {
-	request := workers.HeartbeatRequest{PollTimeout: pollTimeout}
+	s := w.session
+	if s.resumed {
+		return
+	}
+	s.resumed, s.awaitingCommitSince = true, time.Time{}
+	request := workers.HeartbeatRequest{PollTimeout: pollTimeout, LeaseUntilMS: o.extendLease(w)}
 	if w.sessionEstablished && w.endsListed {
 		request.AcknowledgedEnds = w.lastEndRecorded
 	}
-	request.LeaseUntilMS = o.extendLease(w)
-	w.session.awaitingCommitSince = time.Time{}
-	select {
-	case w.session.nextRequest <- request:
-	default: // already resumed after commitTimeout
-	}
+	s.nextRequest <- request // has room: the request before it was taken to get the result
 }
 
 // mayExtendLease reports whether the worker may get a new lease. A successor that reads a record of the worker's loss takes
--- a/internal/workers/workertest/fleet.go
+++ b/internal/workers/workertest/fleet.go
@@ -205,7 +205,7 @@
 	return all
 }
 
-// SetUnresponsive sets whether calls to the worker fail. Its runs continue.
+// SetUnresponsive sets whether calls to the worker fail, also heartbeats that it holds open. Its runs continue.
 func (w *Worker) SetUnresponsive(unresponsive bool) {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
@@ -520,7 +520,7 @@
 		w.advance()
 	}
 	deadline := time.Now().Add(request.PollTimeout)
-	for len(w.ended) == 0 && time.Now().Before(deadline) {
+	for len(w.ended) == 0 && !w.unresponsive && time.Now().Before(deadline) {
 		runEnded := w.runEnded
 		f.mu.Unlock()
 		select {
@@ -532,6 +532,12 @@
 		f.mu.Lock()
 		w.advance()
 	}
+	if w.unresponsive {
+		f.mu.Unlock()
+		request.PollTimeout = time.Until(deadline)
+		awaitAnswer(ctx, request)
+		return workers.HeartbeatResponse{}, errNoResponse
+	}
 	defer f.mu.Unlock()
 	response := workers.HeartbeatResponse{
 		Incarnation: w.Incarnation, ClockMS: w.clock(), Ended: append([]workers.RunEnd(nil), w.ended...)}
