Derive from the open orders which workers are cordoned

The only worker of their kind was up and idle, and got no work for as long as its owner lived.

Cause: one flag of a worker was set by three orders (a drain for maintenance, a move, an inherited move) and reset by some of their ends. The next owner repeated a maintenance order that had been carried out before the machine's worker started. The service said 200 and did nothing; the drain had cordoned the new worker, and the success of an order did not reset the flag, because an order that is carried out ends the worker. The same on related paths: a wave that ended without the instance, a failed order after the instance had got another worker, and a worker that starts again under its ID kept the flag as well.

Change: the flag is gone. A worker is cordoned while an order for its instance is in preparation, open or inherited, by the worker's entry or by the list of instances. Once an order was carried out, the worker stays cordoned until it ends, or until it answers a heartbeat that was sent later: then the order had been carried out before. Ruled out: resetting the flag when an order succeeds, which gives work to a worker that is down and not yet known to be.

--- a/internal/owner/evacuate.go
+++ b/internal/owner/evacuate.go
@@ -52,7 +52,7 @@
 	candidates := map[stepKey]*placement{}
 	for _, inst := range o.fleet.instances {
 		w := o.workers[inst.info.Worker]
-		if !inst.dueForMaintenance || inst.info.State != instances.Up || w == nil || !w.usable(now) {
+		if !inst.dueForMaintenance || inst.info.State != instances.Up || w == nil || !o.usable(w, now) {
 			continue
 		}
 		for _, p := range w.runs {
--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -41,13 +41,16 @@
 	callBudget  pool.CallBudget // for new orders
 	// inheritedMoves lists, by instance, the moves that an earlier owner ordered without recording the outcome.
 	inheritedMoves map[string]moveOrder
-	statuses       statusPublisher
+	// instanceOfWorker holds the listed instance of each worker.
+	instanceOfWorker map[string]string
+	statuses         statusPublisher
 }
 
 func (f *fleetState) init() {
 	f.instances = map[string]*instance{}
 	f.waves = map[int64]*wave{}
 	f.inheritedMoves = map[string]moveOrder{}
+	f.instanceOfWorker = map[string]string{}
 }
 
 // instance is the listed state of an instance and the orders for it.
@@ -139,6 +142,7 @@
 	for _, inst := range o.fleet.instances {
 		inst.listed = false
 	}
+	clear(o.fleet.instanceOfWorker)
 	unnamed := 0
 	for _, info := range all {
 		if info.ID == "" {
@@ -155,12 +159,13 @@
 		inst.listed = true
 		if info.State != instances.Unknown {
 			inst.info = info
-			continue
-		}
-		if inst.info.State != instances.Unknown {
-			o.log.Warn("instance skipped", "instance", info.ID, "err", info.Err)
+		} else {
+			if inst.info.State != instances.Unknown {
+				o.log.Warn("instance skipped", "instance", info.ID, "err", info.Err)
+			}
+			inst.info.ID, inst.info.State = info.ID, instances.Unknown // its pool and worker stay as last listed
 		}
-		inst.info.ID, inst.info.State = info.ID, instances.Unknown // its pool and worker stay as last listed
+		o.fleet.instanceOfWorker[inst.info.Worker] = inst.info.ID
 	}
 	o.fleet.unnamed = unnamed
 }
@@ -215,13 +220,12 @@
 
 func (p *placement) step() *workload.Step { return &p.job.spec.Steps[p.ref.Step] }
 
-// tryDrain cordons an instance, evicts long-running tasks within their budgets and reports whether it may go down now.
+// tryDrain evicts the long-running tasks of a cordoned instance within their budgets and reports whether it may go down now.
 func (o *Owner) tryDrain(inst *instance, now time.Time) bool {
 	worker := o.workers[inst.info.Worker]
 	if worker == nil {
 		return true
 	}
-	worker.cordoned = true
 	if len(worker.runs) == 0 {
 		return true
 	}
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -222,7 +222,7 @@
 func (o *Owner) newPoolView(pool string, now time.Time) *poolView {
 	view := o.rounds.view(pool)
 	for _, w := range o.workersOf(pool) {
-		if !w.usable(now) {
+		if !o.usable(w, now) {
 			continue
 		}
 		view.capacity += w.info.Capacity.CPU
@@ -264,8 +264,8 @@
 }
 
 // usable reports whether the worker accepts new work.
-func (w *worker) usable(now time.Time) bool {
-	return w.registered && w.sessionEstablished && !w.info.Draining && !w.cordoned && now.After(w.backoffUntil)
+func (o *Owner) usable(w *worker, now time.Time) bool {
+	return w.registered && w.sessionEstablished && !w.info.Draining && now.After(w.backoffUntil) && !o.cordoned(w)
 }
 
 // placeStep assigns the waiting tasks of a step to workers of its pool and returns the CPU requested by the tasks that
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -39,7 +39,7 @@
 		if s := states[w.info.Pool]; s != nil {
 			s.UsedCPU += w.used.resources.CPU
 			s.LongRunningCPU += w.used.longRunning.CPU
-			if w.usable(now) {
+			if o.usable(w, now) {
 				s.FreeCPU += w.info.Capacity.CPU - w.used.resources.CPU
 			}
 		}
@@ -179,7 +179,7 @@
 	if standby {
 		return w == nil || len(w.runs) == 0
 	}
-	return w != nil && w.usable(now) && len(w.runs) == 0 &&
+	return w != nil && o.usable(w, now) && len(w.runs) == 0 &&
 		w.info.Pool == inst.info.Pool && w.info.Instance == inst.info.ID
 }
 
@@ -201,16 +201,13 @@
 	To     string `cbor:"2,keyasint"`
 }
 
-// loadMove keeps the worker of an ordered move closed to new work until resumeMoves has ordered the move again.
+// loadMove keeps the worker of an ordered move cordoned until resumeMoves has ordered the move again.
 func (o *Owner) loadMove(instance string, r topic.Record) error {
 	var order moveOrder
 	if err := cbor.Unmarshal(r.Value, &order); err != nil {
 		return errors.Trace(err)
 	}
 	o.fleet.inheritedMoves[instance] = order
-	if order.Worker != "" {
-		o.getOrCreateWorker(order.Worker).cordoned = true
-	}
 	return nil
 }
 
@@ -234,9 +231,6 @@
 		o.log.Info("inherited move has ended", "instance", id, "to", order.To)
 		delete(o.fleet.inheritedMoves, id)
 		o.forgetMove(id)
-		if w != nil {
-			w.cordoned = false
-		}
 	}
 }
 
@@ -250,24 +244,21 @@
 	o.log.Info("moving instance", "instance", m.Instance, "from", m.From, "to", m.To)
 	inst.orderPending = true
 	inst.movingTo = m.To
-	w := o.workers[inst.info.Worker]
-	if w != nil {
-		w.cordoned = true
-	}
 	o.queueRecord(topic.Record{Key: moveKeyPrefix + m.Instance, Value: o.encode(moveOrder{inst.info.Worker, m.To})})
 	o.afterCommit(func() {
 		o.sendInstanceOrder(func(ctx context.Context) error {
 			return o.cfg.Control.Move(ctx, o.ownerID(), m.Instance, m.To)
-		}, func(err error) { o.handleMoveResult(inst, w, m, err) })
+		}, func(err error) { o.handleMoveResult(inst, m, err) })
 	})
 }
 
-func (o *Owner) handleMoveResult(inst *instance, w *worker, m pool.Move, err error) {
+func (o *Owner) handleMoveResult(inst *instance, m pool.Move, err error) {
 	inst.orderPending = false
 	inst.settledAfter = time.Now().Add(o.cfg.Timing.MoveTime + listInterval)
 	switch {
 	case err == nil:
 		o.forgetMove(m.Instance)
+		o.expectEnd(inst)
 		return
 	case errors.Is(err, instances.ErrFenced):
 		o.stepDown("the instance service has accepted a newer owner")
@@ -278,9 +269,6 @@
 	o.forgetMove(m.Instance)
 	o.log.Info("instance move failed", "instance", m.Instance, "to", m.To, "reason", err)
 	inst.movingTo = ""
-	if w != nil {
-		w.cordoned = false
-	}
 }
 
 // instancesNeeded returns how many more instances each pool needs for long-running tasks: the number of blocked
@@ -338,7 +326,7 @@
 	key := stepKey{j, occurrence, step}
 	n := 0
 	for _, w := range o.workersOf(q.Pool) {
-		if !w.usable(now) || !condition(w) {
+		if !o.usable(w, now) || !condition(w) {
 			continue
 		}
 		candidate := schedule.Candidate{
--- a/internal/owner/registration.go
+++ b/internal/owner/registration.go
@@ -186,7 +186,7 @@
 		}
 	}
 	w.lastEndSeen, w.lastEndRecorded, w.clockMS, w.sessionEstablished = 0, 0, 0, false
-	w.health = health{}
+	w.health, w.endExpectedSince = health{}, time.Time{}
 }
 
 // extendLeaseBound provides for leases that were requested of a worker's earlier incarnation and reach the next one. Its
--- a/internal/owner/reserve_test.go
+++ b/internal/owner/reserve_test.go
@@ -79,7 +79,7 @@
 		t.Fatalf("not evicted after %d rounds of a full pool", rounds)
 	}
 	o.endRun(leaving, p, workers.RunEnd{Task: p.taskName, Run: p.run, Reason: workers.Stopped})
-	leaving.cordoned = true
+	o.fleet.instances[leaving.info.Instance].cordon(&wave{}, time.Now())
 	for range rounds {
 		o.endOneRun(staying)
 	}
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -281,7 +281,7 @@
 	f := jobs.Fleet{Owner: o.cfg.Name, Fence: o.term.Fence}
 	err := o.runInLoop(ctx, func(r reply) {
 		for _, w := range o.workers {
-			f.Workers = append(f.Workers, w.view())
+			f.Workers = append(f.Workers, o.view(w))
 		}
 		for _, w := range o.fleet.waves {
 			f.Waves = append(f.Waves, jobs.Wave{
@@ -298,7 +298,7 @@
 	return f, nil
 }
 
-func (w *worker) view() jobs.Worker {
+func (o *Owner) view(w *worker) jobs.Worker {
 	v := jobs.Worker{
 		ID: w.info.ID, Pool: w.info.Pool, Zone: w.info.Zone, Rack: w.info.Rack, Instance: w.info.Instance,
 		Phase: jobs.InService, Runs: len(w.runs), UsedCPU: w.used.resources.CPU, CPU: w.info.Capacity.CPU,
@@ -306,7 +306,7 @@
 	switch {
 	case !w.registered || !w.sessionEstablished:
 		v.Phase = jobs.Lost
-	case w.info.Draining || w.cordoned:
+	case w.info.Draining || o.cordoned(w):
 		v.Phase = jobs.Draining
 	}
 	return v
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -88,12 +88,14 @@
 	clockMS                      int64 // the worker's clock at clockAt
 	clockAt                      time.Time
 	// leaseUntil is when every run on the worker has ended unless its lease is renewed.
-	leaseUntil   time.Time
-	session      *session
-	health       health
-	cordoned     bool // accepts no new work: maintenance or a move is in preparation
-	backoffUntil time.Time
-	idleSince    time.Time // when the latest of its runs ended, or when it was first seen
+	leaseUntil time.Time
+	session    *session
+	health     health
+	// endExpectedSince is when an order that ends the worker was answered; zero without one and once the worker has answered
+	// a later heartbeat.
+	endExpectedSince time.Time
+	backoffUntil     time.Time
+	idleSince        time.Time // when the latest of its runs ended, or when it was first seen
 }
 
 // session sends heartbeats to one incarnation of a worker. The result of each lets exactly one other follow.
@@ -197,6 +199,7 @@
 		o.endOlderIncarnations(w)
 		o.replan = true
 	}
+	o.noticeOutlived(w, sent)
 	w.endsListed = len(response.Ended) > 0
 	newEnds := o.processRunEnds(w, response.Ended)
 	o.reconcileRuns(w, response, sent)
@@ -265,7 +268,7 @@
 		return
 	}
 	if w.sessionEstablished {
-		if w.cordoned && len(w.runs) == 0 {
+		if o.cordoned(w) && len(w.runs) == 0 {
 			o.log.Info("worker left: its instance moves or is maintained", "worker", w.info.ID)
 		} else {
 			o.log.Warn("worker lost", "worker", w.info.ID, "runs", len(w.runs), "err", err)
--- a/internal/owner/waves.go
+++ b/internal/owner/waves.go
@@ -144,6 +144,7 @@
 		if !w.begun[id] && o.showsMaintenanceOf(w, inst) {
 			w.markBegun(id) // by an order whose response was lost
 			inst.maintainedFor = w
+			o.expectEnd(inst)
 			o.recordWave(w)
 			if !inst.orderPending {
 				inst.uncordon()
@@ -245,6 +246,7 @@
 		w.markBegun(id)
 		inst.maintainedFor = w
 		inst.uncordon()
+		o.expectEnd(inst)
 		inst.settledAfter = time.Now().Add(o.cfg.Timing.MaintenanceTime + 2*listInterval)
 		o.recordWave(w)
 	case errors.Is(err, instances.ErrFenced):
@@ -255,9 +257,6 @@
 		o.recordWave(w)
 		inst.uncordon()
 		inst.settledAfter = time.Now().Add(2 * listInterval)
-		if worker := o.workers[inst.info.Worker]; worker != nil {
-			worker.cordoned = false
-		}
 	}
 }
 
