Keep work off an instance whose maintenance an earlier owner ordered, before it is listed

It reads that maintenance was ordered and has no outcome, but cordoned the instance only with the first list of instances. Until then, or for as long as the instance service does not answer, it placed work on the worker, which the earlier order, if it is carried out late, would end.

Change: loading the record cordons the instance. An inherited move was already handled so.

TestInheritedMaintenanceKeepsWorkOff failed without the change: "1 tasks were started on an instance whose order is unsettled".

--- a/internal/owner/cordon_test.go
+++ b/internal/owner/cordon_test.go
@@ -99,3 +99,33 @@
 		})
 	}
 }
+
+// Guards against work that a successor places on an instance before it has listed the instances, while an earlier owner's
+// order for its maintenance may still take effect.
+func TestInheritedMaintenanceKeepsWorkOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		c := h.withControl()
+		c.dropResponses = true
+		c.add("i1", false)
+		first := h.startOwner(true)
+		h.startWave(1, "i1")
+		h.await("maintenance was ordered", func() bool { return len(c.ordered()) == 1 })
+		first.stop()
+		time.Sleep(2 * defaultDowntime)
+
+		c.mu.Lock()
+		c.view = func([]instances.Instance) []instances.Instance { return nil }
+		c.mu.Unlock()
+		o := h.startOwner(true)
+		h.submit(o, newJob("a", 1))
+		time.Sleep(time.Second)
+		if n := len(h.fleet.Starts()); n != 0 {
+			t.Errorf("%d tasks were started on an instance whose order is unsettled", n)
+		}
+		c.mu.Lock()
+		c.view, c.dropResponses = nil, false
+		c.mu.Unlock()
+		h.await("the task runs", func() bool { return len(h.startsOf("a.0.0.0")) == 1 })
+	})
+}
--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -151,11 +151,7 @@
 			}
 			continue
 		}
-		inst := o.fleet.instances[info.ID]
-		if inst == nil {
-			inst = &instance{}
-			o.fleet.instances[info.ID] = inst
-		}
+		inst := o.getOrCreateInstance(info.ID)
 		inst.listed = true
 		if info.State != instances.Unknown {
 			inst.info = info
@@ -170,6 +166,15 @@
 	o.fleet.unnamed = unnamed
 }
 
+func (o *Owner) getOrCreateInstance(id string) *instance {
+	inst := o.fleet.instances[id]
+	if inst == nil {
+		inst = &instance{info: instances.Instance{ID: id}}
+		o.fleet.instances[id] = inst
+	}
+	return inst
+}
+
 // stateUnknown reports whether the list does not tell the state of an instance. One that is missing may be listed
 // without a readable ID; otherwise it was removed.
 func (o *Owner) stateUnknown(inst *instance) bool {
--- a/internal/owner/waves.go
+++ b/internal/owner/waves.go
@@ -56,6 +56,12 @@
 	for _, id := range recorded.Begun {
 		w.begun[id] = true
 	}
+	for _, id := range recorded.Ordered {
+		// The order may still take effect, also before the instances are listed.
+		if inst := o.getOrCreateInstance(id); !recorded.Completed && inst.cordonedFor == nil {
+			inst.cordon(w, o.recoveredAt)
+		}
+	}
 	return nil
 }
 
