Count a job as pending until a worker has shown that it started a task

Cause: Progress.Begun is set when a task is assigned, before its start is sent, and was taken for the start. A start that was refused, not sent or not answered left it set, and it is recorded. The own API needs it as it is: "not run" may be said only of a job of which no start can have been sent.

Change: an intention and a fact are two fields. Begun stays; StartUnconfirmed says beside it that no worker has shown a start yet, by its answer, its list of runs or an end. The first proof is recorded, so that a successor that does not reach the worker knows it too. Pending, the states of both APIs and the metric first_start follow the fact. The new field is negative so that records and answers of earlier builds mean what these builds took them for.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -204,17 +204,19 @@
 func TestRequestDeadline(t *testing.T) {
 	for name, c := range map[string]struct {
 		begun     bool
+		unstarted bool // not known to have started
 		key       string
 		status    int
 		outcome   string
 		cancelled bool
 	}{
-		"never started": {false, "", 408, "not-run deadline", true},
-		"running":       {true, "", 504, "unknown deadline", true},
-		"with a key":    {false, "k1", 504, "unknown deadline", false},
+		"never started": {false, false, "", 408, "not-run deadline", true},
+		"assigned":      {true, true, "", 504, "unknown deadline", true},
+		"running":       {true, false, "", 504, "unknown deadline", true},
+		"with a key":    {false, false, "k1", 504, "unknown deadline", false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := &fakeOwner{status: jobs.Status{Begun: c.begun}}
+			s := &fakeOwner{status: jobs.Status{Begun: c.begun, StartUnconfirmed: c.unstarted}}
 			header := []string{"Pollenford-Deadline-Ms", "300"}
 			if c.key != "" {
 				header = append(header, "Idempotency-Key", c.key)
@@ -227,6 +229,21 @@
 	}
 }
 
+// Guards the state of a job that was assigned to a worker: it is running once the worker has started it.
+func TestJobStateFollowsTheStart(t *testing.T) {
+	for want, status := range map[string]jobs.Status{
+		`"status":"queued"`:  {Begun: true, StartUnconfirmed: true},
+		`"status":"running"`: {Begun: true},
+	} {
+		h := newHarness(t, &fakeOwner{status: status})
+		h.call("POST", "/v1/queues/q/jobs", "key", "work", "Idempotency-Key", "k")
+		r := h.call("GET", "/v1/queues/q/jobs/1", "key", "")
+		if r.status != http.StatusOK || !strings.Contains(r.body, want) {
+			t.Errorf("%+v: %d %s, want %s", status, r.status, r.body, want)
+		}
+	}
+}
+
 // Guards idempotency keys: the same key is the same job within an organisation and queue, and a different request with
 // that key is a conflict, which must not return the first request's answer.
 func TestIdempotencyKey(t *testing.T) {
--- a/internal/api/requests.go
+++ b/internal/api/requests.go
@@ -298,7 +298,7 @@
 	res := &requests.Job{ID: id, Status: "queued"}
 	switch status.State {
 	case workload.Active:
-		if status.Begun {
+		if status.Started() {
 			res.Status = "running"
 		}
 	case workload.Completed:
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -42,8 +42,11 @@
 // Status is the state of a job as reported to clients.
 type Status struct {
 	State workload.State
-	// Begun reports whether a task has been placed.
+	// Begun reports whether a task has been placed, so that a run may have started.
 	Begun bool
+	// StartUnconfirmed reports that no worker has shown yet that it started a task, although Begun is set. An owner of an
+	// earlier version leaves it unset.
+	StartUnconfirmed bool `cbor:",omitempty"`
 	// Interrupted reports whether the job failed because an at-most-once run may have been interrupted.
 	Interrupted bool `cbor:",omitempty"`
 	// Fingerprint identifies the content of the job.
@@ -52,6 +55,9 @@
 	Answer string `cbor:",omitempty"`
 }
 
+// Started reports whether a task of the job has started.
+func (s Status) Started() bool { return s.Begun && !s.StartUnconfirmed }
+
 // Fleet is the owner's view of workers and waves, for operators.
 type Fleet struct {
 	// Owner is the name of the entry process that is the owner, Fence its fencing token.
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -82,7 +82,7 @@
 		}
 	}
 	s.err = nil
-	s.status = jobs.Status{State: workload.Failed, Begun: true, Interrupted: true, Fingerprint: "f", Answer: "a"}
+	s.status = jobs.Status{State: workload.Failed, Begun: true, StartUnconfirmed: true, Interrupted: true, Fingerprint: "f", Answer: "a"}
 	if status, err := client.Await(t.Context(), "a", "org"); err != nil || status != s.status {
 		t.Errorf("%+v %v", status, err)
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -151,8 +151,8 @@
 
 func (j *job) status() jobs.Status {
 	return jobs.Status{
-		State: j.progress.State, Begun: j.progress.Begun, Interrupted: j.progress.Interrupted,
-		Fingerprint: j.progress.Fingerprint, Answer: j.progress.Answer,
+		State: j.progress.State, Begun: j.progress.Begun, StartUnconfirmed: j.progress.StartUnconfirmed,
+		Interrupted: j.progress.Interrupted, Fingerprint: j.progress.Fingerprint, Answer: j.progress.Answer,
 	}
 }
 
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -99,14 +99,12 @@
 		requestedAt: now, confirmedAt: now}
 	o.reserve(w, p)
 	o.markDirty(j)
+	o.confirmStarted(j)
 	return p
 }
 
 // startRun places a task on a worker and sends the start request once the placement is recorded.
 func (o *Owner) startRun(j *job, ref workload.TaskRef, run int, w *worker, ticket string) {
-	if !j.progress.Begun {
-		o.metrics.firstStartDelay.RecordDuration(time.Duration(time.Now().UnixMilli()-j.spec.ReceivedMS) * time.Millisecond)
-	}
 	if err := j.progress.Place(ref, run, w.info.ID, w.info.Incarnation); err != nil {
 		o.log.Error("placement rejected", "job", j.spec.ID, "err", err)
 		return
@@ -120,6 +118,14 @@
 	o.afterCommit(func() { o.sendStart(w, p, request) })
 }
 
+// confirmStarted notes that a worker has shown that it started a task of a job, which no longer is pending then.
+func (o *Owner) confirmStarted(j *job) {
+	if j.progress.State == workload.Active && j.progress.ConfirmStart() {
+		o.metrics.firstStartDelay.RecordDuration(time.Duration(time.Now().UnixMilli()-j.spec.ReceivedMS) * time.Millisecond)
+		o.markDirty(j)
+	}
+}
+
 // markBegun records when the first task of a step was placed, and forgets the occurrences that have ended.
 func (j *job) markBegun(key stepKey) {
 	if _, begun := j.stepsBegan[key]; begun {
@@ -162,6 +168,9 @@
 
 // handleStartResult processes the result of a start request.
 func (o *Owner) handleStartResult(w *worker, p *placement, reply workers.Reply, err error) {
+	if err == nil {
+		o.confirmStarted(p.job)
+	}
 	if w.runs[p.taskName] != p {
 		return
 	}
@@ -319,6 +328,7 @@
 // endRun processes the end of a run reported by its worker.
 func (o *Owner) endRun(w *worker, p *placement, end workers.RunEnd) {
 	j := p.job
+	o.confirmStarted(j)
 	o.release(w, p)
 	longRunning := j.spec.Steps[p.ref.Step].LongRunning
 	result := workload.Interrupted
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -317,7 +317,7 @@
 	n := 0
 	err := o.runInLoop(ctx, func(r reply) {
 		for _, j := range o.active {
-			if j.spec.Queue == queue && !j.progress.Begun {
+			if j.spec.Queue == queue && !j.progress.Started() {
 				n++
 			}
 		}
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -357,6 +357,7 @@
 		p.job.progress.SaveCheckpoint(p.job.spec, p.ref, run.Checkpoint)
 		if p.confirmedAt.IsZero() {
 			p.confirmedAt = time.Now()
+			o.confirmStarted(p.job)
 		}
 		if p.stopping && !p.stopSent || p.job.progress.State != workload.Active {
 			o.stopRun(w, p)
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -80,7 +80,7 @@
 	State State `cbor:"1,keyasint"`
 	// EndedMS is the Unix time in milliseconds at which the job ended.
 	EndedMS int64 `cbor:"2,keyasint,omitempty"`
-	// Begun reports whether a task has been placed.
+	// Begun reports whether a task has been placed, so that a run may have started.
 	Begun bool `cbor:"3,keyasint,omitempty"`
 	// Created counts the occurrences created so far.
 	Created int `cbor:"4,keyasint,omitempty"`
@@ -95,6 +95,19 @@
 	Answer string `cbor:"9,keyasint,omitempty"`
 	// Interrupted reports whether the job failed because an at-most-once run may have been interrupted.
 	Interrupted bool `cbor:"10,keyasint,omitempty"`
+	// StartUnconfirmed reports that a task has been placed and that no worker has shown yet that it started one. Earlier
+	// versions took every placed task for started and do not record it.
+	StartUnconfirmed bool `cbor:"11,keyasint,omitempty"`
+}
+
+// Started reports whether a worker has shown that it started a task.
+func (p *Progress) Started() bool { return p.Begun && !p.StartUnconfirmed }
+
+// ConfirmStart records that a worker has shown that it started a task, and reports whether it is the first one.
+func (p *Progress) ConfirmStart() bool {
+	first := p.StartUnconfirmed
+	p.StartUnconfirmed = false
+	return first
 }
 
 // NewProgress returns the initial progress of an accepted job.
@@ -277,7 +290,9 @@
 		return errors.NotValidf("placing run %d of task %v", run, r)
 	}
 	t.Phase, t.Run, t.Worker, t.Incarnation = Placed, run, worker, incarnation
-	p.Begun = true
+	if !p.Begun {
+		p.Begun, p.StartUnconfirmed = true, true
+	}
 	return nil
 }
 
