Provide for the leases of an owner that was replaced in silence also after its successor has ended

An owner that is cut from the store renews leases until its record is 6 s old. Its successor provides for that, but an owner after the successor did so only if the term between had been yielded. If it had been released, or its process was known to have ended, a worker that only the first owner reached counted as lost 6 s too early, and its tasks were started elsewhere beside their runs.

Change: the record of an owner says from its first write that the owner before it may still renew leases, and says so until MaxRenewalAge after its election. The record of the successor of a yielded term has the flag for that time as well, so TestYieldedTermGoesToAnotherInstance, which wanted it unset after 4 s, now waits until it is, and checks the term again then.

TestOwnerBeforeAnEndedOneMayRenew failed without the change: "PredecessorEnded is true although the owner before the predecessor may renew leases" (released; known to have ended).

--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -18,7 +18,7 @@
 	predecessorEnded := !known || !predecessor.PredecessorMayRenew && (predecessor.Released ||
 		predecessor.Fence == e.endedFence.Load() || predecessor.Name == e.Self.Name)
 	o := e.Self
-	o.Fence = e.nextOffset + 1
+	o.Fence, o.PredecessorMayRenew = e.nextOffset+1, !predecessorEnded
 	if err := e.write(ctx, o); err != nil {
 		e.Log.Info("campaign for ownership failed", "err", err)
 		if !errors.Is(err, topic.ErrOffsetMismatch) {
@@ -28,6 +28,7 @@
 	}
 	e.setOwner(o)
 	term := NewTerm(o.Fence, predecessorEnded)
+	term.electedAt = BootTime()
 	term.Yields = e.recentYields()
 	term.renewedAt.Store(int64(sent))
 	termCtx, cancel := context.WithCancel(ctx)
@@ -47,8 +48,8 @@
 	e.yields = 0
 	if errors.Is(err, ErrYield) {
 		e.yields = term.Yields + 1
-		o.PredecessorMayRenew = !predecessorEnded
 	}
+	o.PredecessorMayRenew = term.predecessorMayRenew()
 	if owner, ok := e.Current(); ok && owner.Fence == o.Fence {
 		e.release(o)
 	}
@@ -96,6 +97,7 @@
 	pause := renewInterval
 	for waitForRenewal(ctx, term, pause) {
 		sent := BootTime()
+		o.PredecessorMayRenew = term.predecessorMayRenew()
 		// A renewal in flight is awaited when the term ends: applied later, it would make the release fail.
 		err := e.write(context.WithoutCancel(ctx), o)
 		if err == nil {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -25,6 +25,9 @@
 	// SilentRecordTTL is the same for an owner that also stopped answering on the connection to it. It allows for a renewal
 	// that takes as long as callTimeout. An owner sends no orders for longer without a renewal.
 	SilentRecordTTL = 1300 * time.Millisecond
+	// MaxRenewalAge is how long after the last renewal of its own record an owner still renews leases. It lets running work
+	// survive a store outage.
+	MaxRenewalAge = 6 * time.Second
 	// callTimeout bounds a call. In a slow store a renewal takes more than 400 ms.
 	callTimeout   = 600 * time.Millisecond
 	retryInterval = 100 * time.Millisecond
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -16,8 +16,8 @@
 	// Fence increases with every change of owner.
 	Fence    int64 `cbor:"4,keyasint"`
 	Released bool  `cbor:"5,keyasint,omitempty"`
-	// PredecessorMayRenew reports, in a released record, that the term was yielded and that the owner before it may still
-	// renew leases.
+	// PredecessorMayRenew reports that the owner before this one may still renew leases, so that the next one must provide
+	// for them even if this one is known to have ended.
 	PredecessorMayRenew bool `cbor:"6,keyasint,omitempty"`
 }
 
@@ -29,6 +29,8 @@
 	PredecessorEnded bool
 	// Yields is the number of terms in a row that this instance yielded before.
 	Yields int
+	// electedAt is the boot-time clock when the store had accepted the record of the term.
+	electedAt time.Duration
 	// renewedAt is the boot-time clock in nanoseconds at which the last successful renewal was sent.
 	renewedAt atomic.Int64
 	// renewalFailing reports whether the latest renewal failed.
@@ -43,6 +45,12 @@
 	return t
 }
 
+// predecessorMayRenew reports whether the previous owner may still renew leases. Its record was last renewed before this
+// term began.
+func (t *Term) predecessorMayRenew() bool {
+	return !t.PredecessorEnded && BootTime()-t.electedAt < MaxRenewalAge
+}
+
 // MarkRenewed records that the owner had not been replaced by now.
 func (t *Term) MarkRenewed() { t.renewedAt.Store(int64(BootTime())) }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -360,7 +360,7 @@
 }
 
 // leading reports whether the owner renewed its own record recently enough to renew the workers' leases.
-func (o *Owner) leading() bool { return o.term.Age() < maxRenewalAge }
+func (o *Owner) leading() bool { return o.term.Age() < leader.MaxRenewalAge }
 
 func (o *Owner) tick() {
 	o.noticePause()
--- a/internal/owner/registration.go
+++ b/internal/owner/registration.go
@@ -5,6 +5,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/pollenford/pollenford/internal/leader"
 	"github.com/pollenford/pollenford/internal/topic"
 	"github.com/pollenford/pollenford/internal/workers"
 	"github.com/pollenford/pollenford/internal/workload"
@@ -96,8 +97,8 @@
 		w = &worker{info: workers.Info{ID: id}, runs: map[string]*placement{}, idleSince: time.Now()}
 		w.leaseUntil = o.recoveredAt.Add(leaseExpiryBound(leaseDuration))
 		if !o.term.PredecessorEnded {
-			// The predecessor may still renew leases until its maxRenewalAge has passed.
-			w.leaseUntil = w.leaseUntil.Add(maxRenewalAge)
+			// The predecessor may still renew leases until its leader.MaxRenewalAge has passed.
+			w.leaseUntil = w.leaseUntil.Add(leader.MaxRenewalAge)
 		}
 		o.workers[id] = w
 		o.workerIndex.moved(w, "")
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -28,9 +28,6 @@
 	// requestTimeout bounds a start or stop request, which usually takes a few milliseconds.
 	requestTimeout = 500 * time.Millisecond
 	stopRetryDelay = 150 * time.Millisecond
-	// maxRenewalAge is how long after the last renewal of its own record an owner still renews leases. It lets running
-	// work survive a store outage.
-	maxRenewalAge = 6 * time.Second
 	// maxClockDrift is the fraction by which a worker's clock may run slow.
 	maxClockDrift = 0.02
 	// commitTimeout is how long a session waits for the decisions on a heartbeat to be recorded before it sends the next
