Name what the owner notes of a start and of a loss by what it says

noteStarted stood beside confirmStart under the name confirmStarted, which takes a job instead of a run; mayReadLoss did not say who may read. Names only: no behaviour changes.

--- a/internal/owner/loss.go
+++ b/internal/owner/loss.go
@@ -26,8 +26,8 @@
 	deleting bool // the deletion is queued
 }
 
-// mayReadLoss reports whether a successor may read a record of the worker's loss.
-func (o *Owner) mayReadLoss(id string) bool { return o.losses[id] != nil }
+// lossMayBeRead reports whether a successor may read a record of the worker's loss.
+func (o *Owner) lossMayBeRead(id string) bool { return o.losses[id] != nil }
 
 // recordLoss records the loss of a worker with runs.
 func (o *Owner) recordLoss(w *worker) {
--- a/internal/owner/registration.go
+++ b/internal/owner/registration.go
@@ -197,7 +197,7 @@
 		return // none was requested
 	}
 	w.leaseUntil = latest(w.leaseUntil, time.Now().Add(leaseExpiryBound(o.cfg.Timing.MaxLease)))
-	if o.mayReadLoss(w.info.ID) {
+	if o.lossMayBeRead(w.info.ID) {
 		o.recordLoss(w)
 	}
 }
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -99,7 +99,7 @@
 		requestedAt: now, confirmedAt: now}
 	o.reserve(w, p)
 	o.markDirty(j)
-	o.confirmStarted(j)
+	o.noteStarted(j)
 	return p
 }
 
@@ -118,8 +118,8 @@
 	o.afterCommit(func() { o.sendStart(w, p, request) })
 }
 
-// confirmStarted notes that a worker has shown that it started a task of a job, which no longer is pending then.
-func (o *Owner) confirmStarted(j *job) {
+// noteStarted notes that a worker has shown that it started a task of a job, which no longer is pending then.
+func (o *Owner) noteStarted(j *job) {
 	if j.progress.State == workload.Active && j.progress.ConfirmStart() {
 		o.metrics.firstStartDelay.RecordDuration(time.Duration(time.Now().UnixMilli()-j.spec.ReceivedMS) * time.Millisecond)
 		o.markDirty(j)
@@ -169,7 +169,7 @@
 // handleStartResult processes the result of a start request.
 func (o *Owner) handleStartResult(w *worker, p *placement, reply workers.Reply, err error) {
 	if err == nil {
-		o.confirmStarted(p.job)
+		o.noteStarted(p.job)
 	}
 	if w.runs[p.taskName] != p {
 		return
@@ -328,7 +328,7 @@
 // endRun processes the end of a run reported by its worker.
 func (o *Owner) endRun(w *worker, p *placement, end workers.RunEnd) {
 	j := p.job
-	o.confirmStarted(j)
+	o.noteStarted(j)
 	o.release(w, p)
 	longRunning := j.spec.Steps[p.ref.Step].LongRunning
 	result := workload.Interrupted
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -203,7 +203,7 @@
 	if newEnds {
 		o.acknowledgeEnds(w)
 	}
-	if w.lastEndSeen > w.lastEndRecorded || o.mayReadLoss(w.info.ID) {
+	if w.lastEndSeen > w.lastEndRecorded || o.lossMayBeRead(w.info.ID) {
 		o.resumeAfterCommit(s)
 		return
 	}
@@ -293,7 +293,7 @@
 // mayExtendLease reports whether the worker may get a new lease. A successor that reads a record of the worker's loss takes
 // the lease for the last one.
 func (o *Owner) mayExtendLease(w *worker) bool {
-	return w.sessionEstablished && w.clockMS != 0 && o.leading() && !o.mayReadLoss(w.info.ID)
+	return w.sessionEstablished && w.clockMS != 0 && o.leading() && !o.lossMayBeRead(w.info.ID)
 }
 
 // extendLease updates leaseUntil for a new lease and returns the lease's end on the worker's clock in milliseconds. Every
@@ -354,7 +354,7 @@
 		p.job.progress.SaveCheckpoint(p.job.spec, p.ref, run.Checkpoint)
 		if p.confirmedAt.IsZero() {
 			p.confirmedAt = time.Now()
-			o.confirmStarted(p.job)
+			o.noteStarted(p.job)
 		}
 		if p.stopping && !p.stopSent || p.job.progress.State != workload.Active {
 			o.stopRun(w, p)
