--- a/internal/owner/cordon_test.go
+++ b/internal/owner/cordon_test.go
@@ -8,19 +8,26 @@
 	"github.com/pollenford/pollenford/internal/instances"
 )
 
+// unansweredMaintenance plays an owner whose order for the maintenance of its only instance, i1, is carried out without a
+// response. The owner has ended, and the instance is up again with another worker.
+func unansweredMaintenance(t *testing.T) (*harness, *fakeControl) {
+	h := newHarness(t)
+	c := h.withControl()
+	c.dropResponses = true
+	c.add("i1", false)
+	o := h.startOwner(true)
+	h.startWave(1, "i1")
+	h.await("maintenance was ordered", func() bool { return len(c.ordered()) == 1 })
+	o.stop()
+	time.Sleep(2 * defaultDowntime)
+	return h, c
+}
+
 // Guards against a worker that gets no work for good: a successor repeated the maintenance order of its instance, which had
 // been carried out before the worker started (review/7).
 func TestWorkerOutlivesARepeatedMaintenanceOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHarness(t)
-		c := h.withControl()
-		c.dropResponses = true
-		c.add("i1", false)
-		first := h.startOwner(true)
-		h.startWave(1, "i1")
-		h.await("maintenance was ordered", func() bool { return len(c.ordered()) == 1 })
-		first.stop()
-		time.Sleep(2 * defaultDowntime)
+		h, c := unansweredMaintenance(t)
 		c.mu.Lock()
 		c.dropResponses = false
 		c.mu.Unlock()
@@ -104,15 +111,7 @@
 // order for its maintenance may still take effect.
 func TestInheritedMaintenanceKeepsWorkOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHarness(t)
-		c := h.withControl()
-		c.dropResponses = true
-		c.add("i1", false)
-		first := h.startOwner(true)
-		h.startWave(1, "i1")
-		h.await("maintenance was ordered", func() bool { return len(c.ordered()) == 1 })
-		first.stop()
-		time.Sleep(2 * defaultDowntime)
+		h, c := unansweredMaintenance(t)
 
 		c.mu.Lock()
 		c.view = func([]instances.Instance) []instances.Instance { return nil }
