workload: keep no memory for tasks that have had no run

Cause: each task had an object of 64 bytes, 256 KB for a job of 4,000. The owner that accepted them did not show it: it never wrote to those pages. Its successor decodes each task of the record, which touches them all. Change: TaskList holds the tasks up to the last one that has had a run; the others are a count. Records keep their form, so that earlier versions read them, and the waiting tasks are counted instead of walked in each placement round. Ruled out: a shorter record, which an earlier version in a rolling upgrade would skip as malformed. TestWithoutCheckpoints compares what is recorded, since lists that are equal may hold different numbers of tasks.

--- a/internal/owner/advise_test.go
+++ b/internal/owner/advise_test.go
@@ -138,8 +138,8 @@
 					for _, w := range o.workers {
 						reported = reported && w.sessionEstablished
 					}
-					for _, t := range o.jobs["a"].progress.Current[0].Tasks[0] {
-						reported = reported && t.Checkpoint != ""
+					for tasks, i := &o.jobs["a"].progress.Current[0].Tasks[0], 0; i < tasks.Len(); i++ {
+						reported = reported && tasks.At(i).Checkpoint != ""
 					}
 				})
 				return reported
--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -283,9 +283,9 @@
 		return 0
 	}
 	n := 0
-	for i := range current.Tasks[step] {
+	for i := range current.Tasks[step].Len() {
 		ref := workload.TaskRef{Occurrence: occurrence, Step: step, Index: i}
-		if o.isUnavailable(j, ref, &current.Tasks[step][i]) {
+		if o.isUnavailable(j, ref, current.Tasks[step].At(i)) {
 			n++
 		}
 	}
--- a/internal/owner/malformed_test.go
+++ b/internal/owner/malformed_test.go
@@ -53,7 +53,7 @@
 	cyclic.Steps[0].After = []int{1}
 	put(jobKeyPrefix+"cyclic", encode(cyclic))
 	put(jobKeyPrefix+"shape", encode(newJob("shape", 2, 3)))
-	put(progressKeyPrefix+"shape", encode(&workload.Progress{Current: []*workload.Occurrence{{Tasks: make([][]workload.Task, 1)}}}))
+	put(progressKeyPrefix+"shape", encode(&workload.Progress{Current: []*workload.Occurrence{{Tasks: make([]workload.TaskList, 1)}}}))
 	put(jobKeyPrefix+"bytes", []byte{0xff, 0x00, 0x9f})
 	put(progressKeyPrefix+"bytes", []byte("not a progress"))
 	put(jobKeyPrefix+"empty", encode(map[int]int{}))
--- a/internal/owner/overload.go
+++ b/internal/owner/overload.go
@@ -246,13 +246,10 @@
 			continue
 		}
 		s := &j.spec.Steps[i]
-		begin, takes, waiting := time.Duration(0), s.Estimate, unfinished
+		begin, takes, waiting := time.Duration(0), s.Estimate, occurrence.Tasks[i].Waiting()
 		for _, predecessor := range s.After {
 			begin = max(begin, p.ends[predecessor])
 		}
-		if j.progress.Begun {
-			waiting = countWaiting(occurrence.Tasks[i])
-		}
 		if began, ok := j.stepsBegan[stepKey{j, occurrence.Number, i}]; ok && waiting == 0 {
 			takes = overload.Remaining(s.Estimate-now.Sub(began), s.Estimate)
 		}
@@ -283,16 +280,6 @@
 	}
 }
 
-func countWaiting(tasks []workload.Task) int {
-	n := 0
-	for i := range tasks {
-		if tasks[i].Phase == workload.Waiting {
-			n++
-		}
-	}
-	return n
-}
-
 func amount(r catalog.Resources, factor float64) overload.Amount {
 	return overload.Amount{float64(r.CPU) * factor, float64(r.MemoryMB) * factor, float64(r.GPU) * factor}
 }
--- a/internal/owner/overload_test.go
+++ b/internal/owner/overload_test.go
@@ -122,7 +122,7 @@
 		o.addActiveJob(old)
 	}
 	o.place()
-	placed := 8 - countWaiting(o.jobs["old0"].progress.Current[0].Tasks[0])
+	placed := 8 - o.jobs["old0"].progress.Current[0].Tasks[0].Waiting()
 	if placed != 1 || o.jobs["old1"].progress.Begun || o.jobs["old2"].progress.Begun {
 		t.Errorf("%d tasks of the oldest job are placed, want one, and none of the others", placed)
 	}
@@ -150,7 +150,7 @@
 		if o.jobs["old0"].progress.Begun {
 			t.Errorf("%s: the job is placed", name)
 		}
-		if placed := 8 - countWaiting(o.jobs["old1"].progress.Current[0].Tasks[0]); placed != 1 {
+		if placed := 8 - o.jobs["old1"].progress.Current[0].Tasks[0].Waiting(); placed != 1 {
 			t.Errorf("%s: %d tasks of the next job are placed, want 1", name, placed)
 		}
 	}
--- a/internal/owner/overloadplace.go
+++ b/internal/owner/overloadplace.go
@@ -39,7 +39,7 @@
 	occurrence := j.progress.Current[0]
 	for i := range j.spec.Steps {
 		if occurrence.Ready(j.spec, i) {
-			placed := occurrence.Unfinished(i) - countWaiting(occurrence.Tasks[i])
+			placed := occurrence.Unfinished(i) - occurrence.Tasks[i].Waiting()
 			cpu += int64(placed) * j.spec.Steps[i].ReservedResources().CPU
 		}
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -230,7 +230,6 @@
 		case progressKeyPrefix:
 			progress := &workload.Progress{}
 			if err = cbor.Unmarshal(r.Value, progress); err == nil {
-				progress.RebuildIndex()
 				o.getOrCreateJob(id).progress = progress
 			}
 		case waveKeyPrefix:
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/pollenford/pollenford/internal/catalog"
@@ -173,7 +174,7 @@
 	for _, j := range o.active {
 		for _, occurrence := range j.progress.Current {
 			for step := range j.spec.Steps {
-				if !occurrence.Ready(j.spec, step) || !hasWaitingTasks(occurrence.Tasks[step]) {
+				if occurrence.Tasks[step].Waiting() == 0 || !occurrence.Ready(j.spec, step) {
 					continue
 				}
 				demand := j.plan.demand
@@ -186,15 +187,6 @@
 	return list
 }
 
-func hasWaitingTasks(tasks []workload.Task) bool {
-	for i := range tasks {
-		if tasks[i].Phase == workload.Waiting {
-			return true
-		}
-	}
-	return false
-}
-
 // poolView is the available capacity of a pool during one placement round.
 type poolView struct {
 	workers    []*worker
@@ -316,10 +308,8 @@
 	doesNotFit := view.doesNotFit
 	var workerIndexes []int
 	var taskIndexes []int
-	for index := range r.occurrence.Tasks[r.step] {
-		if r.occurrence.Tasks[r.step][index].Phase != workload.Waiting {
-			continue
-		}
+	tasks := &r.occurrence.Tasks[r.step]
+	for index := tasks.NextWaiting(0); index < tasks.Len(); index = tasks.NextWaiting(index + 1) {
 		usage = usage.Add(step.Resources)
 		if org != nil && !org.LimitAllows(usage) {
 			break
@@ -398,17 +388,10 @@
 
 // countWithinLimit returns how many waiting tasks of a step could start now within the organisation's limit.
 func (o *Owner) countWithinLimit(r *readyStep) int64 {
-	n := int64(0)
-	usage := o.usage[r.job.spec.Organisation]
-	for i := range r.occurrence.Tasks[r.step] {
-		if r.occurrence.Tasks[r.step][i].Phase != workload.Waiting {
-			continue
-		}
-		usage = usage.Add(r.job.spec.Steps[r.step].Resources)
-		if r.org != nil && !r.org.LimitAllows(usage) {
-			break
-		}
-		n++
+	waiting := r.occurrence.Tasks[r.step].Waiting()
+	if r.org == nil {
+		return int64(waiting)
 	}
-	return n
+	usage, need := o.usage[r.job.spec.Organisation], r.job.spec.Steps[r.step].Resources
+	return int64(sort.Search(waiting, func(n int) bool { return !r.org.LimitAllows(usage.Add(need.Times(int64(n + 1)))) }))
 }
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -301,12 +301,7 @@
 
 // countUnplaceable returns by how many the waiting tasks of a step outnumber its eligible workers, at least 0.
 func (o *Owner) countUnplaceable(j *job, occurrence *workload.Occurrence, step int) int {
-	waiting := 0
-	for i := range occurrence.Tasks[step] {
-		if occurrence.Tasks[step][i].Phase == workload.Waiting {
-			waiting++
-		}
-	}
+	waiting := occurrence.Tasks[step].Waiting()
 	if waiting == 0 {
 		return 0
 	}
--- a/internal/owner/registration.go
+++ b/internal/owner/registration.go
@@ -176,9 +176,9 @@
 	w.info.Incarnation = incarnation
 	o.extendLeaseBound(w)
 	for _, p := range w.placements() {
-		t := p.job.progress.Task(p.ref)
+		t, ok := p.job.progress.Task(p.ref)
 		switch {
-		case t == nil || t.Incarnation == incarnation:
+		case !ok || t.Incarnation == incarnation:
 		case p.seenOn != 0 && p.seenOn != incarnation:
 			o.loseRun(w, p, workload.Interrupted, "worker restarted")
 		case !p.startSent && !p.adopted:
--- a/internal/owner/relocate.go
+++ b/internal/owner/relocate.go
@@ -40,7 +40,8 @@
 		if !o.mayRelocateOne(p) {
 			continue
 		}
-		w := o.workers[p.job.progress.Task(p.ref).Worker]
+		task, _ := p.job.progress.Task(p.ref)
+		w := o.workers[task.Worker]
 		evacuated := o.evacuated(w)
 		suits := func(other *worker) bool { return evacuated || !o.isDueForMaintenance(other) }
 		if o.countEligible(p.job, p.ref.Occurrence, p.ref.Step, suits) == 0 {
--- a/internal/owner/reserve_test.go
+++ b/internal/owner/reserve_test.go
@@ -57,7 +57,6 @@
 	long.Steps[0].Resources.CPU = 3000
 	j := o.addActiveJob(long)
 	o.place()
-	task := j.progress.Task(workload.TaskRef{})
 	p := leaving.runs[workload.TaskName("long", workload.TaskRef{})]
 	if p == nil {
 		t.Fatal("the long-running task is not placed in an idle pool")
@@ -84,7 +83,7 @@
 	for range rounds {
 		o.endOneRun(staying)
 	}
-	if task.Phase != workload.Placed || task.Worker != "w2" {
+	if task, _ := j.progress.Task(workload.TaskRef{}); task.Phase != workload.Placed || task.Worker != "w2" {
 		t.Errorf("the evicted task is %v on %s, want it placed on w2", task.Phase, task.Worker)
 	}
 	if len(staying.runs) != 2 {
--- a/internal/owner/unanswered.go
+++ b/internal/owner/unanswered.go
@@ -69,14 +69,14 @@
 // countOthersUnavailable is countUnavailable without the run's own task.
 func (o *Owner) countOthersUnavailable(p *placement) int {
 	n := o.countUnavailable(p.job, p.ref.Occurrence, p.ref.Step)
-	if t := p.job.progress.Task(p.ref); t != nil && o.isUnavailable(p.job, p.ref, t) {
+	if t, ok := p.job.progress.Task(p.ref); ok && o.isUnavailable(p.job, p.ref, t) {
 		n--
 	}
 	return n
 }
 
 // isUnavailable reports whether a task is to be stopped or not known to run at full speed.
-func (o *Owner) isUnavailable(j *job, ref workload.TaskRef, t *workload.Task) bool {
+func (o *Owner) isUnavailable(j *job, ref workload.TaskRef, t workload.Task) bool {
 	w := o.workers[t.Worker]
 	if t.Phase != workload.Placed || w == nil || !w.sessionEstablished {
 		return true
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -66,13 +66,11 @@
 
 // Occurrence is the progress of one pass through the steps.
 type Occurrence struct {
-	Number int      `cbor:"1,keyasint"`
-	Tasks  [][]Task `cbor:"2,keyasint"`
+	Number int        `cbor:"1,keyasint"`
+	Tasks  []TaskList `cbor:"2,keyasint"` // by step
 	// Evictions lists the placed runs that the system has decided to stop. They are recorded before the stop is requested,
 	// so that a successor does not count such a run as available while the stop may still take effect.
 	Evictions []Eviction `cbor:"3,keyasint,omitempty"`
-
-	unfinished []int // number of unfinished tasks by step
 }
 
 // Progress is the recorded state of a job, apart from the job itself.
@@ -123,8 +121,8 @@
 	for i, o := range p.Current {
 		for step, tasks := range o.Tasks {
 			n := 0
-			for k := range tasks {
-				n += len(tasks[k].Checkpoint)
+			for k := range tasks.held {
+				n += len(tasks.held[k].Checkpoint)
 			}
 			sizes = append(sizes, stepSize{i, step, n})
 		}
@@ -141,9 +139,9 @@
 		if bytes <= 0 || s.bytes == 0 {
 			break
 		}
-		tasks := slices.Clone(reduced.Current[s.occurrence].Tasks[s.step])
-		for k := range tasks {
-			tasks[k].Checkpoint = ""
+		tasks := reduced.Current[s.occurrence].Tasks[s.step].clone()
+		for k := range tasks.held {
+			tasks.held[k].Checkpoint = ""
 		}
 		reduced.Current[s.occurrence].Tasks[s.step] = tasks
 		bytes -= s.bytes
@@ -151,24 +149,6 @@
 	return &reduced
 }
 
-// RebuildIndex restores derived fields after decoding.
-func (p *Progress) RebuildIndex() {
-	for _, o := range p.Current {
-		o.rebuildIndex()
-	}
-}
-
-func (o *Occurrence) rebuildIndex() {
-	o.unfinished = make([]int, len(o.Tasks))
-	for i, tasks := range o.Tasks {
-		for k := range tasks {
-			if tasks[k].Phase != Finished {
-				o.unfinished[i]++
-			}
-		}
-	}
-}
-
 // NextDueMS returns the Unix time in milliseconds at which the next occurrence is due, and whether there is one.
 func (p *Progress) NextDueMS(j *Job) (int64, bool) {
 	if p.State != Active {
@@ -186,9 +166,9 @@
 		if o == nil || len(o.Tasks) != len(j.Steps) {
 			return errors.NotValidf("occurrence of job %s with %d steps", j.ID, len(j.Steps))
 		}
-		for step, tasks := range o.Tasks {
-			if len(tasks) != j.Steps[step].Count {
-				return errors.NotValidf("step %d of job %s with %d tasks (%d are specified)", step, j.ID, len(tasks),
+		for step := range o.Tasks {
+			if n := o.Tasks[step].Len(); n != j.Steps[step].Count {
+				return errors.NotValidf("step %d of job %s with %d tasks (%d are specified)", step, j.ID, n,
 					j.Steps[step].Count)
 			}
 		}
@@ -204,18 +184,20 @@
 
 // CreateDue creates the occurrences that are due at nowMS, as far as there is room for them, and reports whether there
 // were any.
-func (p *Progress) CreateDue(j *Job, nowMS int64) bool {
+func (p *Progress) CreateDue(j *Job, nowMS int64) bool { return p.CreateUpTo(j, nowMS, MaxTasks) }
+
+// CreateUpTo is CreateDue for at most limit occurrences. The others are created later, as those of a schedule that is behind.
+func (p *Progress) CreateUpTo(j *Job, nowMS int64, limit int) bool {
 	created := false
 	for {
 		due, more := p.NextDueMS(j)
-		if !more || due > nowMS || !p.hasRoom(j) {
+		if limit--; !more || due > nowMS || !p.hasRoom(j) || limit < 0 {
 			return created
 		}
-		o := &Occurrence{Number: p.Created, Tasks: make([][]Task, len(j.Steps))}
+		o := &Occurrence{Number: p.Created, Tasks: make([]TaskList, len(j.Steps))}
 		for i := range j.Steps {
-			o.Tasks[i] = make([]Task, j.Steps[i].Count)
+			o.Tasks[i] = NewTaskList(j.Steps[i].Count)
 		}
-		o.rebuildIndex()
 		p.Created++
 		p.Current = append(p.Current, o)
 		created = true
@@ -224,11 +206,11 @@
 
 // Ready reports whether a step has unfinished tasks and all its predecessors are finished.
 func (o *Occurrence) Ready(j *Job, step int) bool {
-	if o.unfinished[step] == 0 {
+	if o.Tasks[step].unfinished == 0 {
 		return false
 	}
 	for _, predecessor := range j.Steps[step].After {
-		if o.unfinished[predecessor] > 0 {
+		if o.Tasks[predecessor].unfinished > 0 {
 			return false
 		}
 	}
@@ -236,7 +218,7 @@
 }
 
 // Unfinished returns the number of tasks of a step that have not succeeded.
-func (o *Occurrence) Unfinished(step int) int { return o.unfinished[step] }
+func (o *Occurrence) Unfinished(step int) int { return o.Tasks[step].unfinished }
 
 // Occurrence returns the current occurrence with the given number, or nil.
 func (p *Progress) Occurrence(number int) *Occurrence {
@@ -251,7 +233,8 @@
 // EachPlaced calls visit for each placed task of the current occurrences.
 func (p *Progress) EachPlaced(visit func(r TaskRef, t *Task)) {
 	for _, o := range p.Current {
-		for step, tasks := range o.Tasks {
+		for step := range o.Tasks {
+			tasks := o.Tasks[step].held
 			for index := range tasks {
 				if t := &tasks[index]; t.Phase == Placed {
 					visit(TaskRef{Occurrence: o.Number, Step: step, Index: index}, t)
@@ -261,23 +244,33 @@
 	}
 }
 
-// Task returns a task of a current occurrence, or nil.
-func (p *Progress) Task(r TaskRef) *Task {
+// tasks returns the list with a task of a current occurrence, or nil.
+func (p *Progress) tasks(r TaskRef) *TaskList {
 	o := p.Occurrence(r.Occurrence)
-	if o == nil || r.Step >= len(o.Tasks) || r.Index >= len(o.Tasks[r.Step]) {
+	if o == nil || r.Step >= len(o.Tasks) || r.Index >= o.Tasks[r.Step].Len() {
 		return nil
 	}
-	return &o.Tasks[r.Step][r.Index]
+	return &o.Tasks[r.Step]
+}
+
+// Task returns a task, and whether it belongs to a current occurrence.
+func (p *Progress) Task(r TaskRef) (t Task, ok bool) {
+	tasks := p.tasks(r)
+	if tasks == nil {
+		return Task{}, false
+	}
+	return tasks.At(r.Index), true
 }
 
 // NextRun returns the number of the next run of a task. The members of a gang share it.
 func (p *Progress) NextRun(j *Job, r TaskRef) int {
+	tasks := p.tasks(r)
 	if !j.Steps[r.Step].Gang {
-		return p.Task(r).Run + 1
+		return tasks.At(r.Index).Run + 1
 	}
 	run := 0
-	for _, t := range p.Occurrence(r.Occurrence).Tasks[r.Step] {
-		run = max(run, t.Run)
+	for i := range tasks.held {
+		run = max(run, tasks.held[i].Run)
 	}
 	return run + 1
 }
@@ -285,11 +278,11 @@
 // Place records that a run of a waiting task is placed on a worker. It returns a NotValid error, and changes nothing,
 // if the job has ended, the task is unknown or not waiting, or the run number does not rise.
 func (p *Progress) Place(r TaskRef, run int, worker string, incarnation int64) error {
-	t := p.Task(r)
-	if p.State != Active || t == nil || t.Phase != Waiting || run <= t.Run {
+	t, ok := p.Task(r)
+	if p.State != Active || !ok || t.Phase != Waiting || run <= t.Run {
 		return errors.NotValidf("placing run %d of task %v", run, r)
 	}
-	t.Phase, t.Run, t.Worker, t.Incarnation = Placed, run, worker, incarnation
+	p.tasks(r).place(r.Index, run, worker, incarnation)
 	if !p.Begun {
 		p.Begun, p.StartUnconfirmed = true, true
 	}
@@ -298,29 +291,29 @@
 
 // SaveCheckpoint keeps the checkpoint of a task, if there is one. The value from any member of a gang holds for all.
 func (p *Progress) SaveCheckpoint(j *Job, r TaskRef, checkpoint string) {
-	t := p.Task(r)
-	if t == nil || checkpoint == "" {
+	tasks := p.tasks(r)
+	if tasks == nil || checkpoint == "" {
 		return
 	}
 	if !j.Steps[r.Step].Gang {
-		t.Checkpoint = checkpoint
+		tasks.hold(r.Index).Checkpoint = checkpoint
 		return
 	}
-	tasks := p.Occurrence(r.Occurrence).Tasks[r.Step]
-	for i := range tasks {
-		tasks[i].Checkpoint = checkpoint
+	for i := range tasks.Len() {
+		tasks.hold(i).Checkpoint = checkpoint
 	}
 }
 
 // Checkpoint returns the checkpoint from which the next run of a task resumes, "" without one. It is the same for all
 // members of a gang, also if an earlier build recorded different ones.
 func (p *Progress) Checkpoint(j *Job, r TaskRef) string {
+	tasks := p.tasks(r)
 	if !j.Steps[r.Step].Gang {
-		return p.Task(r).Checkpoint
+		return tasks.At(r.Index).Checkpoint
 	}
-	for _, t := range p.Occurrence(r.Occurrence).Tasks[r.Step] {
-		if t.Checkpoint != "" {
-			return t.Checkpoint
+	for i := range tasks.held {
+		if checkpoint := tasks.held[i].Checkpoint; checkpoint != "" {
+			return checkpoint
 		}
 	}
 	return ""
@@ -329,18 +322,18 @@
 // Resume records that the latest run of a waiting task is on a worker after all, although it counted as lost. It reports
 // false, and changes nothing, if the task does not wait or has a later run.
 func (p *Progress) Resume(j *Job, r TaskRef, run int, worker string, incarnation int64) bool {
-	t := p.Task(r)
-	if p.State != Active || t == nil || t.Phase != Waiting || t.Run != run || p.NextRun(j, r) != run+1 {
+	t, ok := p.Task(r)
+	if p.State != Active || !ok || t.Phase != Waiting || t.Run != run || p.NextRun(j, r) != run+1 {
 		return false
 	}
-	t.Phase, t.Worker, t.Incarnation = Placed, worker, incarnation
+	p.tasks(r).place(r.Index, run, worker, incarnation)
 	return true
 }
 
 // Evict records the decision to stop the run of a placed task and reports whether it was made now.
 func (p *Progress) Evict(r TaskRef) bool {
-	t := p.Task(r)
-	if t == nil || t.Phase != Placed || p.IsEvicted(r) {
+	t, _ := p.Task(r)
+	if t.Phase != Placed || p.IsEvicted(r) {
 		return false
 	}
 	o := p.Occurrence(r.Occurrence)
@@ -357,8 +350,8 @@
 
 // IsEvicted reports whether the current run of a task is to be stopped.
 func (p *Progress) IsEvicted(r TaskRef) bool {
-	t := p.Task(r)
-	return t != nil && slices.Contains(p.Occurrence(r.Occurrence).Evictions, Eviction{r.Step, r.Index, t.Run})
+	t, ok := p.Task(r)
+	return ok && slices.Contains(p.Occurrence(r.Occurrence).Evictions, Eviction{r.Step, r.Index, t.Run})
 }
 
 // clearEviction forgets the eviction of a task whose run has ended.
@@ -391,12 +384,12 @@
 
 // EndRun records the end of a run and returns its effect. The job fails with the maxFailures-th failure of a task.
 func (p *Progress) EndRun(j *Job, r TaskRef, run int, result RunResult, checkpoint string, maxFailures int) Transition {
-	t := p.Task(r)
-	if t == nil || t.Phase != Placed || t.Run != run {
+	if t, _ := p.Task(r); t.Phase != Placed || t.Run != run {
 		return Ignored
 	}
 	p.SaveCheckpoint(j, r, checkpoint)
-	t.Phase = Waiting
+	tasks := p.tasks(r)
+	tasks.setPhase(r.Index, Waiting)
 	p.Occurrence(r.Occurrence).clearEviction(r)
 	if p.State != Active {
 		p.prune()
@@ -416,6 +409,7 @@
 		p.Interrupted = result == Interrupted
 		return p.fail()
 	case result == Errored:
+		t := tasks.hold(r.Index)
 		t.Failures++
 		if t.Failures >= maxFailures {
 			return p.fail()
@@ -440,17 +434,15 @@
 }
 
 func (p *Progress) finish(j *Job, r TaskRef) {
-	o := p.Occurrence(r.Occurrence)
+	tasks := p.tasks(r)
 	if !j.Steps[r.Step].Gang {
-		o.Tasks[r.Step][r.Index].Phase = Finished
-		o.unfinished[r.Step]--
+		tasks.setPhase(r.Index, Finished)
 		return
 	}
 	// A gang ends as one: the end of a member finishes all of them.
-	for i := range o.Tasks[r.Step] {
-		o.Tasks[r.Step][i].Phase = Finished
+	for i := range tasks.Len() {
+		tasks.setPhase(i, Finished)
 	}
-	o.unfinished[r.Step] = 0
 }
 
 func (p *Progress) completeIfDone(j *Job) Transition {
@@ -469,8 +461,8 @@
 }
 
 func (o *Occurrence) hasUnfinished() bool {
-	for _, n := range o.unfinished {
-		if n > 0 {
+	for step := range o.Tasks {
+		if o.Tasks[step].unfinished > 0 {
 			return true
 		}
 	}
@@ -499,9 +491,9 @@
 }
 
 func (o *Occurrence) hasPlaced() bool {
-	for _, tasks := range o.Tasks {
-		for i := range tasks {
-			if tasks[i].Phase == Placed {
+	for step := range o.Tasks {
+		for i := range o.Tasks[step].held {
+			if o.Tasks[step].held[i].Phase == Placed {
 				return true
 			}
 		}
--- a/internal/workload/size.go
+++ b/internal/workload/size.go
@@ -54,8 +54,8 @@
 	bytes = progressBytes + len(p.Organisation) + len(p.Queue) + len(p.Fingerprint) + len(p.Answer)
 	for _, o := range p.Current {
 		bytes += occurrenceBytes + len(o.Tasks)*stepBytes
-		for _, step := range o.Tasks {
-			tasks += len(step)
+		for step := range o.Tasks {
+			tasks += o.Tasks[step].Len()
 		}
 	}
 	return tasks, bytes + tasks*taskBytes
@@ -67,11 +67,12 @@
 	reduced.Current = make([]*Occurrence, len(p.Current))
 	for i, o := range p.Current {
 		copied := *o
-		copied.Tasks = make([][]Task, len(o.Tasks))
-		for step, tasks := range o.Tasks {
-			copied.Tasks[step] = append([]Task(nil), tasks...)
+		copied.Tasks = make([]TaskList, len(o.Tasks))
+		for step := range o.Tasks {
+			copied.Tasks[step] = o.Tasks[step].clone()
+			tasks := copied.Tasks[step].held
 			for k := range tasks {
-				if t := &copied.Tasks[step][k]; t.Phase != Placed {
+				if t := &tasks[k]; t.Phase != Placed {
 					t.Worker, t.Incarnation = "", 0
 				}
 			}
--- a/internal/workload/size_test.go
+++ b/internal/workload/size_test.go
@@ -21,7 +21,7 @@
 		run := rapid.SampledFrom([]int{1, 24, 256, 1 << 16, 1 << 31}).Draw(t, "run")
 		together := 0
 		for step := range j.Steps {
-			for index := range p.Current[0].Tasks[step] {
+			for index := range p.Current[0].Tasks[step].Len() {
 				r := TaskRef{Step: step, Index: index}
 				if err := p.Place(r, run, worker, 1<<40); err != nil {
 					t.Fatal(err)
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -1,8 +1,8 @@
 package workload
 
 import (
+	"bytes"
 	"fmt"
-	"reflect"
 	"strings"
 	"testing"
 
@@ -28,7 +28,13 @@
 // Whole steps lose their checkpoints, those with the most bytes first, and the progress itself keeps them.
 func TestWithoutCheckpoints(t *testing.T) {
 	task := func(bytes int) Task { return Task{Phase: Waiting, Checkpoint: strings.Repeat("c", bytes)} }
-	progress := func(steps ...[]Task) *Progress { return &Progress{Current: []*Occurrence{{Tasks: steps}}} }
+	progress := func(steps ...[]Task) *Progress {
+		o := &Occurrence{}
+		for _, tasks := range steps {
+			o.Tasks = append(o.Tasks, ListOf(tasks...))
+		}
+		return &Progress{Current: []*Occurrence{o}}
+	}
 	for name, c := range map[string]struct {
 		save int
 		want *Progress
@@ -39,15 +45,24 @@
 		"all":        {1000, progress([]Task{task(0), task(0)}, []Task{task(0)}, []Task{task(0), task(0)})},
 	} {
 		p := progress([]Task{task(1), task(1)}, []Task{task(10)}, []Task{task(4), task(0)})
-		if got := p.WithoutCheckpoints(c.save); !reflect.DeepEqual(got, c.want) {
+		if got := p.WithoutCheckpoints(c.save); !bytes.Equal(encode(t, got), encode(t, c.want)) {
 			t.Errorf("%s: %+v, want %+v", name, got.Current[0], c.want.Current[0])
 		}
-		if len(p.Current[0].Tasks[1][0].Checkpoint) != 10 {
+		if len(p.Current[0].Tasks[1].At(0).Checkpoint) != 10 {
 			t.Errorf("%s: the progress itself was changed", name)
 		}
 	}
 }
 
+// encode returns the record of a progress.
+func encode(t *testing.T, p *Progress) []byte {
+	data, err := cbor.Marshal(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
 // placed identifies a run that was placed on a worker.
 type placed struct {
 	ref TaskRef
@@ -79,7 +94,6 @@
 				if err := cbor.Unmarshal(data, p); err != nil {
 					t.Fatal(err)
 				}
-				p.RebuildIndex()
 			case 1: // an end is repeated
 				if len(ended) > 0 {
 					old := rapid.SampledFrom(ended).Draw(t, "old")
@@ -89,7 +103,7 @@
 				}
 			case 2: // an eviction is decided
 				for ref := range running {
-					if now := p.Evict(ref); now && p.State != Active && p.Task(ref) == nil || !p.IsEvicted(ref) {
+					if now := p.Evict(ref); now && p.State != Active && !known(p, ref) || !p.IsEvicted(ref) {
 						t.Fatalf("the eviction of %v was not recorded", ref)
 					}
 					break
@@ -118,6 +132,12 @@
 	})
 }
 
+// known reports whether a task belongs to a current occurrence.
+func known(p *Progress, r TaskRef) bool {
+	_, ok := p.Task(r)
+	return ok
+}
+
 // place places every task of one ready step.
 func place(t *rapid.T, j *Job, p *Progress, running map[TaskRef]placed, done map[TaskRef]bool, lastRun map[TaskRef]int) {
 	for _, o := range p.Current {
@@ -133,8 +153,8 @@
 				}
 			}
 			run := 0
-			for i := range o.Tasks[step] {
-				if o.Tasks[step][i].Phase != Waiting {
+			for i := range o.Tasks[step].Len() {
+				if o.Tasks[step].At(i).Phase != Waiting {
 					continue
 				}
 				ref := TaskRef{o.Number, step, i}
@@ -355,9 +375,9 @@
 	for name, o := range map[string]*Occurrence{
 		"no occurrence": nil,
 		"no step":       {},
-		"fewer steps":   {Tasks: [][]Task{make([]Task, 2)}},
-		"fewer tasks":   {Tasks: [][]Task{make([]Task, 1), make([]Task, 1)}},
-		"more tasks":    {Tasks: [][]Task{make([]Task, 2), make([]Task, 9)}},
+		"fewer steps":   {Tasks: []TaskList{NewTaskList(2)}},
+		"fewer tasks":   {Tasks: []TaskList{NewTaskList(1), NewTaskList(1)}},
+		"more tasks":    {Tasks: []TaskList{NewTaskList(2), NewTaskList(9)}},
 	} {
 		p := &Progress{Current: []*Occurrence{o}}
 		if err := p.Check(j); err == nil {
@@ -410,7 +430,7 @@
 		if got := p.Resume(j, first, 1, "w", 2); got != c.want {
 			t.Errorf("%s: resumed %v, want %v", name, got, c.want)
 		}
-		if task := p.Task(first); c.want && (task.Phase != Placed || task.Incarnation != 2) {
+		if task, _ := p.Task(first); c.want && (task.Phase != Placed || task.Incarnation != 2) {
 			t.Errorf("%s: %+v", name, task)
 		}
 	}
