logs: bound the bytes of the lines that wait

An instance could hold up to 8,192 lines for a slow output; a line that names a request's address of 14 KB made that 115 MB, more than half of the smallest instance (computed, not observed). Cause: the queue was bounded by lines only. Change: lines beyond 2 MiB are dropped and counted like those beyond 8,192. Measured: TestQueuedBytesAreBounded holds 4 MiB of such lines without the bound and reports it, and at most 2 MiB with it.

--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -15,6 +15,8 @@
 const (
 	// queueLines is the queue's capacity: about 2 MB of lines of usual length, 1% of the smallest instance's memory.
 	queueLines = 8192
+	// queueBytes limits the queued lines, which may contain long addresses of requests.
+	queueBytes = 2 << 20
 	// LinesPerSecond limits the sustained rate and BurstLines the burst, at ten times what an owner writes in the
 	// heaviest peak of today's deployments.
 	LinesPerSecond = 4000
@@ -29,6 +31,7 @@
 	lines   chan []byte
 	limiter *rate.Limiter
 	dropped atomic.Int64
+	queued  atomic.Int64 // bytes
 	close   sync.Once
 	closed  chan struct{}
 	done    chan struct{}
@@ -50,9 +53,15 @@
 		w.dropped.Add(1)
 		return len(line), nil
 	}
+	if w.queued.Add(int64(len(line))) > queueBytes {
+		w.queued.Add(-int64(len(line)))
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
+		w.queued.Add(-int64(len(line)))
 		w.dropped.Add(1)
 	}
 	return len(line), nil
@@ -90,6 +99,7 @@
 }
 
 func (w *Writer) writeLine(line []byte) {
+	w.queued.Add(-int64(len(line)))
 	if n := w.dropped.Swap(0); n > 0 {
 		line = append(fmt.Appendf(nil, `{"@level":"warn","@message":"log lines dropped","count":%d}`+"\n", n), line...)
 	}
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -64,3 +64,26 @@
 		t.Errorf("%d lines, want 100", n)
 	}
 }
+
+// Guards against lines with long addresses that wait for a slow output and fill the memory.
+func TestQueuedBytesAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	w := NewWriter(&blockedWriter{release: release})
+	line := []byte(strings.Repeat("x", 14_000) + "\n")
+	for range 2 * queueBytes / len(line) {
+		if _, err := w.Write(line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if queued := w.queued.Load(); queued > queueBytes {
+		t.Errorf("%d bytes queued, limit %d", queued, queueBytes)
+	}
+	if w.Dropped() == 0 {
+		t.Error("no line was dropped")
+	}
+	close(release)
+	w.Close()
+	if queued := w.queued.Load(); queued != 0 {
+		t.Errorf("%d bytes count as queued after all were written", queued)
+	}
+}
