ingress: apply the limits of headers of the configuration

Operators saw: max_header_bytes, header_timeout_ms and idle_timeout_ms were accepted, compared by config check and then not read; 16 KiB, 3 s and 15 s applied whatever they set. Cause: the servers take their limits when they start, before a configuration is known. Change: the connection sets the read deadline of each header and of the wait for the next one by the active configuration, and the handler answers 431 to a larger header. Without values in the configuration the defaults stay. A larger header than 16 KiB is possible on the clients' port only, up to 64 KiB: with TLS its end is not visible, so that it could not be charged in full. HTTP/2 has its own timeouts. TestRequestsOverTLS uses the port that has TLS.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -85,12 +85,16 @@
 	// requests in progress, and the bytes received of the next one's header; protected by mu.
 	requests int
 	header   int64
+	// waitingSince is when the connection was accepted, its last answer ended, or the first byte of a header arrived, whichever
+	// was last; answered reports an earlier request. Protected by mu.
+	waitingSince    time.Time
+	answered, http2 bool
 }
 
 // admit returns an accepted connection with its place, or closes it and returns nil.
 func (g *Gate) admit(accepted net.Conn, port Port) *conn {
 	now := time.Now()
-	c := &conn{Conn: accepted, gate: g, port: port}
+	c := &conn{Conn: accepted, gate: g, port: port, waitingSince: now}
 	c.slot = g.conns.Hold(int(port), now, idlePatience, func() { c.drop("gave its place to a new connection") })
 	c.memory = g.memory.Hold(small, now, stallPatience, func() { c.drop("a header made no progress") })
 	if err := c.slot.Charge(1, now); err != nil {
@@ -142,6 +146,11 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if deadline := c.headerDeadline(); !deadline.IsZero() {
+		if err := c.SetReadDeadline(deadline); err != nil {
+			return 0, err
+		}
+	}
 	n, err := c.Conn.Read(p)
 	if deadline := c.readDeadline.Load(); n == 0 && deadline != 0 && errors.Is(err, os.ErrDeadlineExceeded) &&
 		time.Since(time.Unix(0, deadline)) > lateWake && c.readDeadline.CompareAndSwap(deadline, 0) {
@@ -160,10 +169,6 @@
 
 var headerEnd = []byte("\r\n\r\n")
 
-// maxHeaderBytes is the largest header that a server of the node reads. The end of one is not visible with TLS, where the
-// bytes of a body may arrive before the header was decrypted.
-const maxHeaderBytes = 20 << 10
-
 // received charges bytes of a header. Those of a body, also after the header in the same read, are charged by its reader.
 func (c *conn) received(data []byte) error {
 	n := int64(len(data))
@@ -180,10 +185,11 @@
 		return nil
 	}
 	if c.header == 0 {
+		c.waitingSince = now
 		c.memory.Progress(now)
 		c.slot.Progress(now)
 	}
-	n = min(n, maxHeaderBytes-c.header)
+	n = min(n, int64(ServerHeaderBytes(c.port))+headerSlack-c.header)
 	c.header += n
 	part := small
 	if c.header > smallHeaderBytes {
@@ -260,6 +266,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests++
+	c.answered, c.http2 = true, r.ProtoMajor > 1
 	c.setPatience()
 	if c.requests == 1 {
 		c.header = 0
@@ -283,6 +290,7 @@
 		c.memory.Clear()
 		c.memory.SetPatience(stallPatience)
 		c.slot.Progress(now)
+		c.waitingSince = now
 	}
 }
 
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -91,6 +91,9 @@
 
 // Gate applies limits to the listeners of a process.
 type Gate struct {
+	// Headers returns the limits of headers by the active configuration. Set it before the first listener; nil leaves the
+	// defaults.
+	Headers func() HeaderLimits
 	limits  Limits
 	memory  *Account
 	conns   *Account
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -24,6 +24,12 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
+		if g.headerTooLarge(port, r) {
+			g.refuse(port, r.RemoteAddr, "a header is too large")
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
+			return
+		}
 		if port != Peers && g.full(port, time.Now()) {
 			w.Header().Set("Connection", "close")
 		}
--- a/internal/ingress/requests_test.go
+++ b/internal/ingress/requests_test.go
@@ -47,7 +47,7 @@
 	g := &gated{New(limits, hclog.NewNullLogger(), tally.NoopScope), &pipes{conns: make(chan net.Conn), closed: make(chan struct{})},
 		make(chan struct{}, 1)}
 	server := &http.Server{
-		Handler: g.gate.Handler(Clients, handler), ConnContext: ConnContext, ReadHeaderTimeout: time.Second, MaxHeaderBytes: 16 << 10,
+		Handler: g.gate.Handler(Clients, handler), ConnContext: ConnContext, ReadHeaderTimeout: time.Second, MaxHeaderBytes: ServerHeaderBytes(Clients),
 		ErrorLog: hclog.NewNullLogger().StandardLogger(nil),
 		ConnState: func(_ net.Conn, s http.ConnState) {
 			if s == http.StateClosed {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,13 +86,12 @@
 	unreadyTime = 2200 * time.Millisecond
 	// exitReserve is the part of Grace reserved for the exit of the process.
 	exitReserve = 500 * time.Millisecond
-	// headerTimeout and idleTimeout apply until a configuration sets its own values.
+	// headerTimeout and idleTimeout apply unless the configuration has other values.
 	headerTimeout          = 3 * time.Second
 	idleTimeout            = 15 * time.Second
 	configPollTimeout      = 2 * time.Second
 	reportInterval         = time.Second // of gauges, equal to the reporting interval of the metrics
 	softMemoryLimitPercent = 60          // of MemoryMB, above which the garbage collector runs more often
-	maxHeaderBytes         = 16 << 10
 	// ownerGCPercent trades memory, which the soft limit bounds, for processor time: at the default of 100 an owner with
 	// hundreds of calls a second collects a heap of some tens of MB several times a second.
 	ownerGCPercent = 300
@@ -136,6 +135,7 @@
 		CampaignDelayFactor: campaignDelayFactor(cfg.Cores),
 		Eligible:            n.eligible,
 	}
+	n.gate.Headers = n.headerLimits
 	n.entry = &entry.Entry{
 		Elector: n.elector, LocalOwner: n.localService, DecodeCatalog: n.decodeCatalog, Log: cfg.Log.Named("entry")}
 
@@ -163,6 +163,15 @@
 	return nil
 }
 
+// headerLimits returns the limits of headers by the active configuration.
+func (n *node) headerLimits() ingress.HeaderLimits {
+	c := n.entry.Catalog()
+	if c == nil {
+		return ingress.HeaderLimits{}
+	}
+	return ingress.HeaderLimits{MaxBytes: int64(c.Limits.MaxHeaderBytes), Timeout: c.Limits.HeaderTimeout, Idle: c.Limits.IdleTimeout}
+}
+
 // eligible reports whether the instance may become the owner: it has a configuration, also if another instance sent it,
 // and has read the operators' requests.
 func (n *node) eligible() bool { return n.entry.Catalog() != nil && n.evacuations.Known() }
@@ -303,7 +312,7 @@
 
 func (n *node) httpServer(port ingress.Port, handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: n.gate.Handler(port, handler), ConnContext: ingress.ConnContext, HTTP2: ingress.HTTP2(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: n.gate.Handler(port, handler), ConnContext: ingress.ConnContext, HTTP2: ingress.HTTP2(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: ingress.ServerHeaderBytes(port),
 		ErrorLog: n.cfg.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{InferLevels: true}),
 	}
 }
