ingress: count a connection with TLS as two

An instance could hold some 40 KB more than its limit of connections allows for, for each connection with TLS: the buffers of net/http and crypto/tls (docs/design/client-limits.md, "Not covered"; not seen to end a process). Cause: the limit assumes 30 KB of the process for a connection. Change: the first byte of a handshake takes a second place of the limit, or that of the connection that has been idle longest; without one the connection is closed. Measured: of 32 connections at a limit of 16, less 6 in reserve for other ports, 10 are admitted without TLS and 5 with it; before 10 and 10.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -89,6 +89,8 @@
 	// was last; answered reports an earlier request. Protected by mu.
 	waitingSince    time.Time
 	answered, http2 bool
+	// started reports that bytes have arrived, encrypted that they are TLS; protected by mu.
+	started, encrypted bool
 }
 
 // admit returns an accepted connection with its place, or closes it and returns nil.
@@ -169,6 +171,26 @@
 
 var headerEnd = []byte("\r\n\r\n")
 
+// tlsHandshake is the first byte of a connection with TLS, and tlsConnections how many connections such a one counts for: it
+// has some 40 KB more in buffers.
+const tlsHandshake, tlsConnections = 22, 2
+
+// begun notes the first bytes of a connection. The caller holds mu.
+func (c *conn) begun(data []byte, now time.Time) error {
+	if c.started || len(data) == 0 {
+		return nil
+	}
+	c.started = true
+	if c.encrypted = data[0] == tlsHandshake; !c.encrypted {
+		return nil
+	}
+	err := c.slot.Charge(tlsConnections-1, now)
+	if errors.Is(err, ErrFull) {
+		c.drop("too many connections")
+	}
+	return err
+}
+
 // received charges bytes of a header. Those of a body, also after the header in the same read, are charged by its reader.
 func (c *conn) received(data []byte) error {
 	n := int64(len(data))
@@ -181,6 +203,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if err := c.begun(data, now); err != nil {
+		return err
+	}
 	if c.requests > 0 {
 		return nil
 	}
--- a/internal/ingress/header_test.go
+++ b/internal/ingress/header_test.go
@@ -9,6 +9,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
 )
 
 // headerConn is a client's connection to a gated server with limits of headers.
@@ -101,3 +104,24 @@
 		})
 	}
 }
+
+// Guards against connections with TLS that count like others: their buffers would exceed what the limit of connections
+// allows for.
+func TestConnectionsWithTLSCountTwice(t *testing.T) {
+	for first, want := range map[byte]int{'G': 10, tlsHandshake: 5} { // of 16, less 6 in reserve for other ports
+		gate := New(testLimits, hclog.NewNullLogger(), tally.NoopScope)
+		admitted := 0
+		for range 2 * testLimits.Connections {
+			_, server := net.Pipe()
+			if c := gate.admit(server, API); c != nil {
+				defer c.Close()
+				if c.received([]byte{first}) == nil {
+					admitted++
+				}
+			}
+		}
+		if admitted != want {
+			t.Errorf("first byte %d: %d connections admitted, want %d", first, admitted, want)
+		}
+	}
+}
