owner: decode the records of a recovery page by page

Callers saw: a successor of a crowd's owner needed more memory than the work that it took over. Cause: all pages were collected, and decoded when the last one had arrived, so that every record was held twice. Change: each page is decoded when it arrives, and the jobs are adopted after the last one. Ended jobs are ordered by their end: the status of one is forgotten in that order, and the order of a map kept some longer.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -6,8 +6,10 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -216,6 +218,7 @@
 	}
 }
 
+// loadRecords decodes a page of records. Call adoptRecords after the last one.
 func (o *Owner) loadRecords(records []topic.Record) {
 	for _, r := range records {
 		if r.Value == nil || len(r.Key) < len(jobKeyPrefix) {
@@ -247,10 +250,15 @@
 			o.log.Error("unreadable record skipped", "key", r.Key, "offset", r.Offset, "err", err)
 		}
 	}
+}
+
+// adoptRecords restores the state of which the records were loaded.
+func (o *Owner) adoptRecords() {
 	o.earlyCancels.sort()
 	for id, j := range o.jobs {
 		o.adoptJob(id, j)
 	}
+	slices.SortFunc(o.ended, func(a, b endedJob) int { return cmp.Compare(a.endedMS, b.endedMS) })
 }
 
 func (o *Owner) getOrCreateJob(id string) *job {
--- a/internal/owner/recovery.go
+++ b/internal/owner/recovery.go
@@ -86,7 +86,7 @@
 	}
 	o.recoveredAt = time.Now()
 	o.lastTurn = leader.BootTime()
-	o.loadRecords(r.snapshot.Records)
+	o.adoptRecords()
 	o.metrics.recovery.RecordDuration(time.Since(r.began))
 	r.log(hclog.Info, "owner recovered", "active_jobs", len(o.active))
 	return nil
@@ -109,6 +109,7 @@
 			return err
 		}
 		r.snapshot.Add(page)
+		r.o.loadRecords(page.Records)
 		r.reportProgress(page)
 	}
 	return nil
@@ -117,7 +118,7 @@
 func (r *recovery) reportProgress(page topic.Page) {
 	r.o.metrics.recoveryPages.Inc(1)
 	r.o.metrics.recoveryBytes.Inc(int64(page.Bytes()))
-	r.o.metrics.recoveryRecords.Update(float64(len(r.snapshot.Records)))
+	r.o.metrics.recoveryRecords.Update(float64(r.snapshot.Records))
 	if time.Since(r.logged) >= recoveryLogInterval {
 		r.logged = time.Now()
 		r.log(hclog.Info, "owner recovering")
@@ -125,7 +126,7 @@
 }
 
 func (r *recovery) log(level hclog.Level, message string, args ...any) {
-	r.o.log.Log(level, message, append(args, "records", len(r.snapshot.Records), "pages", r.snapshot.Pages,
+	r.o.log.Log(level, message, append(args, "records", r.snapshot.Records, "pages", r.snapshot.Pages,
 		"bytes", r.snapshot.Bytes, "lag_ms", r.lag.Milliseconds(), "ms", time.Since(r.began).Milliseconds())...)
 }
 
--- a/internal/topic/snapshot.go
+++ b/internal/topic/snapshot.go
@@ -17,18 +17,17 @@
 	return n
 }
 
-// PagedSnapshot collects the pages of a snapshot, each read by a call of its own. A reader that repeats a failed call
+// PagedSnapshot follows the pages of a snapshot, each read by a call of its own. A reader that repeats a failed call
 // continues after the last page that arrived. The pages fit together only if nothing is appended meanwhile.
 type PagedSnapshot struct {
-	Records []Record
-	Pages   int
-	Bytes   int
+	// Records, Pages and Bytes count what was read.
+	Records, Pages, Bytes int
 
 	after    string
 	complete bool
 }
 
-// ReadNext returns a call that reads the page after the collected ones. It does not add the page, so that attempts may
+// ReadNext returns a call that reads the page after the last one. It does not add the page, so that attempts may
 // overlap. A record that cannot be read is an error.
 func (s *PagedSnapshot) ReadNext(store Store, name Name) func(ctx context.Context) (Page, error) {
 	after := s.after
@@ -43,7 +42,7 @@
 
 // Add adds the page that a call of ReadNext returned.
 func (s *PagedSnapshot) Add(p Page) {
-	s.Records = append(s.Records, p.Records...)
+	s.Records += len(p.Records)
 	s.Pages++
 	s.Bytes += p.Bytes()
 	s.after, s.complete = p.Next, p.Next == ""
