owner: send a worker no more starts than it answers

Callers saw: beside small legal jobs of many tasks without requirements, 18,016 starts went unanswered and 12,638 runs were lost; each was stopped and placed again, and ordinary tasks waited behind them. Cause: a round placed as many tasks as the workers' capacity allowed, and tasks without requirements always fit. Their starts waited for one of eight connections to the worker until they timed out. The tasks stay waiting, count for no further instance, and are placed when answers come. Gangs start as a whole and may exceed the limit of a worker.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -223,6 +223,7 @@
 		Store: n.cfg.Store, Workers: n.cfg.Workers, Control: n.cfg.Control, Advice: n.cfg.Advice,
 		Codec: n.cfg.Codec, Evacuations: n.evacuations,
 		Catalog: n.entry.Catalog, OnCatalog: n.entry.SetCatalog, Name: n.cfg.Name, Timing: n.cfg.Timing,
+		MemoryMB:       n.cfg.MemoryMB,
 		MaxRecordBytes: n.cfg.MaxRecordBytes, MaxAppendBytes: n.cfg.MaxAppendBytes, Overload: n.cfg.Overload,
 		Scope: n.cfg.Scope.SubScope("owner"), Log: n.cfg.Log.Named("owner"),
 	}, term)
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -19,7 +19,7 @@
 	checkpointsOmitted                       tally.Counter            // records of progress without all checkpoints
 	ended                                    map[string]tally.Counter // jobs by state
 	appendLatency, recovery, firstStartDelay tally.Histogram
-	active, workers                          tally.Gauge
+	active, workers, startsInFlight          tally.Gauge
 	// Evacuated zones, and the runs still there.
 	zonesEvacuated, evacuatedRuns, evacuatedLongRunning tally.Gauge
 	// Progress of recoveries; recoveryRecords is that of the last one.
@@ -45,6 +45,7 @@
 		recovery:        scope.Histogram("recovery", durationBuckets),
 		firstStartDelay: scope.Histogram("first_start", durationBuckets),
 		active:          scope.Gauge("jobs_active"), workers: scope.Gauge("workers_held"),
+		startsInFlight: scope.Gauge("starts_in_flight"),
 		zonesEvacuated: scope.Gauge("zones_evacuated"), evacuatedRuns: scope.Gauge("evacuated_zone_runs"),
 		evacuatedLongRunning: scope.Gauge("evacuated_zone_long_running"),
 		recoveryPages:        scope.Counter("recovery_pages"), recoveryBytes: scope.Counter("recovery_bytes"),
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -93,6 +93,8 @@
 	// Name identifies this instance to the instance service and to operators.
 	Name   string
 	Timing Timing
+	// MemoryMB is the memory of the instance, 0 without a limit.
+	MemoryMB int
 	// MaxRecordBytes limits a record in the store, MaxAppendBytes a single append.
 	MaxRecordBytes, MaxAppendBytes int
 	Overload                       OverloadPolicy
@@ -124,6 +126,7 @@
 	commit           committer
 	rounds           roundBuffers
 	overload         overloadState
+	accounts         accounts
 	rejections       logs.Summary
 	replan           bool // a change may allow further placements
 	lastPlacementTry time.Time
@@ -191,6 +194,7 @@
 	o.fleet.init()
 	o.earlyCancels.init()
 	o.fleet.callBudget.PerSecond = cfg.Timing.ControlRate * newOrderShare
+	o.updateLimits()
 	return o
 }
 
@@ -452,6 +456,7 @@
 	}
 	o.metrics.workers.Update(float64(established))
 	o.updateEvacuationGauges()
+	o.metrics.startsInFlight.Update(float64(o.accounts.starts))
 	o.metrics.active.Update(float64(len(o.active)))
 }
 
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -193,6 +193,8 @@
 	candidates []schedule.Candidate
 	// doesNotFit is the smallest request that fit on no worker; requests at least as large are skipped.
 	doesNotFit *catalog.Resources
+	// paced is the smallest request for which no worker takes further starts until others are answered. Gangs do not wait.
+	paced *catalog.Resources
 	// CPU by organisation in thousandths of a core: in use, requested by waiting tasks and, in a full pool, fair share.
 	used, requested, shares map[string]int64
 	capacity                int64
@@ -248,7 +250,7 @@
 	for _, w := range view.workers {
 		view.candidates = append(view.candidates, schedule.Candidate{
 			Free: w.info.Capacity.Sub(w.used.resources), Rack: w.info.Rack, SuspectScore: w.health.suspectScore(now),
-			DueForMaintenance: o.isDueForMaintenance(w), Ending: w.used.resources.Sub(w.used.longRunning),
+			DueForMaintenance: o.isDueForMaintenance(w), Ending: w.used.resources.Sub(w.used.longRunning), Starting: w.starting,
 		})
 	}
 	return view
@@ -296,6 +298,9 @@
 	if view.doesNotFit != nil && view.doesNotFit.FitsIn(need) {
 		return need.CPU * o.countWithinLimit(r)
 	}
+	if !o.mayStart(r, need) {
+		return 0
+	}
 	key := stepKey{r.job, r.occurrence.Number, r.step}
 	var advised *tickets
 	if r.queue.RequiresAdvice {
@@ -304,7 +309,8 @@
 	view.prepare(step, key, advised, now)
 	name := r.job.spec.Organisation
 	usage := o.usage[name]
-	room, fullRecord := o.roomForPlacements(r.job), false
+	// Tasks that wait for room in the record, or for answers to other starts, need no further instance.
+	room, held := o.roomForPlacements(r.job), false
 	doesNotFit := view.doesNotFit
 	var workerIndexes []int
 	var taskIndexes []int
@@ -319,17 +325,25 @@
 		}
 		best := schedule.SelectWorker(step, view.candidates)
 		if best < 0 {
-			if step.RequiredLabel == "" && step.MaxPerWorker == 0 && advised == nil {
+			constrained := step.RequiredLabel != "" || step.MaxPerWorker > 0 || advised != nil
+			if held = view.startsPaced(); held && !constrained && !step.Gang {
+				view.paced = &need
+			} else if !held && !constrained {
 				view.doesNotFit = &need
 			}
 			break
 		}
 		if room -= workload.PlacementBytes(view.workers[best].info.ID); room < 0 {
-			fullRecord = true // the other tasks wait until some of these have ended
+			held = true // the other tasks wait until some of these have ended
+			break
+		}
+		if !step.Gang && o.accounts.starts+len(workerIndexes) >= o.accounts.maxStarts {
+			held = true
 			break
 		}
 		view.candidates[best].Free = view.candidates[best].Free.Sub(need)
 		view.candidates[best].StepTasks++
+		view.candidates[best].Starting++
 		view.used[name] += need.CPU
 		workerIndexes, taskIndexes = append(workerIndexes, best), append(taskIndexes, index)
 	}
@@ -337,6 +351,7 @@
 		view.doesNotFit = doesNotFit // what the gang took is free again
 		for _, i := range workerIndexes {
 			view.candidates[i].Free = view.candidates[i].Free.Add(need)
+			view.candidates[i].Starting--
 			view.used[name] -= need.CPU
 		}
 		return need.CPU * o.countWithinLimit(r)
@@ -361,12 +376,24 @@
 			"tasks", len(taskIndexes), "of", step.Count, "config", o.cfg.Catalog().Version,
 			"age_ms", time.Now().UnixMilli()-r.job.spec.ReceivedMS)
 	}
-	if fullRecord {
+	if held {
 		return 0
 	}
 	return need.CPU * o.countWithinLimit(r)
 }
 
+// mayStart reports whether a step may start a task in this round. Those that wait for answers to other starts
+// are not tried, since a crowd may have thousands of them.
+func (o *Owner) mayStart(r *readyStep, need catalog.Resources) bool {
+	paced := r.view.paced != nil && r.view.paced.FitsIn(need) || o.accounts.starts >= o.accounts.maxStarts
+	return !paced || r.job.spec.Steps[r.step].Gang
+}
+
+// startsPaced reports whether a worker gets no more starts until others are answered.
+func (v *poolView) startsPaced() bool {
+	return slices.ContainsFunc(v.candidates, func(c schedule.Candidate) bool { return c.Starting >= schedule.MaxStarting })
+}
+
 // prepare sets the properties of the candidates that depend on the step. Most steps constrain no worker, and none of
 // these properties then matters.
 func (v *poolView) prepare(step *workload.Step, key stepKey, advised *tickets, now time.Time) {
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -114,6 +114,8 @@
 	p := &placement{job: j, ref: ref, taskName: workload.TaskName(j.spec.ID, ref), run: run, requestedAt: time.Now()}
 	o.reserve(w, p)
 	o.markDirty(j)
+	w.starting++
+	o.accounts.starts++
 	request := workers.StartRequest{
 		Task: p.taskName, Run: run, Spec: j.spec.Spec, Checkpoint: j.progress.Checkpoint(j.spec, ref), Ticket: ticket}
 	o.afterCommit(func() { o.sendStart(w, p, request) })
@@ -141,10 +143,12 @@
 
 // sendStart sends the start request of a recorded placement.
 func (o *Owner) sendStart(w *worker, p *placement, request workers.StartRequest) {
-	if w.runs[p.taskName] != p {
-		return // the worker has restarted since
+	if w.runs[p.taskName] != p { // the worker has restarted since
+		o.startAnswered(w)
+		return
 	}
 	if p.leaving() || !o.mayExtendLease(w) {
+		o.startAnswered(w)
 		o.loseRun(w, p, workload.NeverStarted, "start not requested")
 		return
 	}
@@ -154,6 +158,7 @@
 		if o.evacuated(w) {
 			reason = "zone evacuated"
 		}
+		o.startAnswered(w)
 		o.loseRun(w, p, workload.NeverStarted, reason)
 		return
 	}
@@ -179,6 +184,7 @@
 
 // handleStartResult processes the result of a start request.
 func (o *Owner) handleStartResult(w *worker, p *placement, reply workers.Reply, err error) {
+	o.startAnswered(w)
 	if err == nil {
 		o.noteStarted(p.job)
 	}
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -90,6 +90,7 @@
 	// sessionEstablished reports whether the worker responds to this owner's heartbeats.
 	sessionEstablished bool
 	runs               map[string]*placement // by task name
+	starting           int                   // starts without an answer
 	used               usage
 	// Sequence numbers of the last run end processed and of the last one that may be acknowledged.
 	lastEndSeen, lastEndRecorded int64
--- a/internal/schedule/select.go
+++ b/internal/schedule/select.go
@@ -20,10 +20,16 @@
 	Excluded bool
 	// SuspectScore ranks how likely the worker is faulty; 0 is healthy.
 	SuspectScore int
+	// Starting is the number of starts sent to the worker, or about to be sent, that have no answer.
+	Starting int
 	// DueForMaintenance reports whether a wave is going to take the worker's instance down.
 	DueForMaintenance bool
 }
 
+// MaxStarting is how many starts may wait for a worker's answer. More would wait for a connection until they time out, and
+// their runs would be stopped and started again. Gangs, which start as a whole, may exceed it.
+const MaxStarting = 64
+
 // Fits reports whether a task of the step may be placed on the candidate.
 func (c *Candidate) Fits(step *workload.Step) bool {
 	free := c.Free
@@ -35,7 +41,7 @@
 
 // mayRun reports whether the step's constraints allow a task on the candidate, whatever is free.
 func (c *Candidate) mayRun(step *workload.Step) bool {
-	return !c.Excluded && (step.RequiredLabel == "" || c.HasLabel) &&
+	return !c.Excluded && (step.Gang || c.Starting < MaxStarting) && (step.RequiredLabel == "" || c.HasLabel) &&
 		(step.MaxPerWorker == 0 || c.StepTasks < step.MaxPerWorker)
 }
 
