owner: bound the memory of accepted work

Callers saw: clients with a valid key ended the owner, and each successor after it, by jobs that were accepted. Nothing came back by itself. Cause: the memory of what was accepted had no bound. A job of 4,000 tasks took 256 KB, an ended job kept its specification until its status was forgotten, an ID kept the address of its request (up to 16 KB), a schedule that was behind created thousands of occurrences, and each placement and record added to it. What one owner held in untouched pages its successor read in full. Change: package budget shares the memory for accepted work (1/8 of the instance) among organisations; each may hold at most what it leaves free, so that another one finds room whatever some take. A submission, or a cancel of an unknown job, that does not fit is answered 429 with Retry-After before anything of it is recorded. A second budget (1/16) bounds what tasks take once they have run: a job begins when all of its tasks fit, and waits until then. Queues of lower urgency leave 1/8 to the most urgent ones. Both follow the smallest instance that is connected, since it may be the next owner; an entry names its memory when it connects. An ended job keeps its ID and status only, once none of its runs is placed (TestRunsOutlastTheSpecificationOfTheirJob: "term ended by a panic" without that). The progress of a job is recorded from its first placement on; until then its specification says all of it, also to an earlier version. Labels that no worker has are found without walking the workers for each job. Ruled out: dropping accepted work; a bound on the number of jobs (one of 1,000 steps takes 200 times as much as a small one); a fixed share for each organisation (idle ones would keep it from others). TestJobOfARefusedRecordIsGivenUp rejects a job for its specification, since its progress is recorded later, and one that is placed at once for its progress.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -44,7 +44,9 @@
 
 // Entry admits the requests of clients and calls the owner for them.
 type Entry struct {
-	Elector *leader.Elector
+	// MemoryMB is the memory of this instance in megabytes, 0 without a limit. The owner holds no more than the smallest could.
+	MemoryMB int
+	Elector  *leader.Elector
 	// LocalOwner returns the service if this process is the owner, or nil.
 	LocalOwner func() jobs.Service
 	// DecodeCatalog decodes a configuration document received from the owner.
@@ -322,7 +324,7 @@
 		}
 	}()
 	lost := make(chan struct{})
-	client, err := link.Dial(ctx, owner.Address, owner.Incarnation, e.applyOwnerConfig, func() { close(lost) })
+	client, err := link.Dial(ctx, owner.Address, owner.Incarnation, e.MemoryMB, e.applyOwnerConfig, func() { close(lost) })
 	if err != nil {
 		return err
 	}
--- a/internal/link/bounds_test.go
+++ b/internal/link/bounds_test.go
@@ -33,7 +33,7 @@
 		Log: hclog.NewNullLogger(), Ingress: ingress.New(limits, hclog.NewNullLogger(), tally.NoopScope),
 	})
 	t.Cleanup(server.Close)
-	client, err := Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), "one", nil, func() {})
+	client, err := Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), "one", 0, nil, func() {})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -115,6 +116,8 @@
 	Log     hclog.Logger
 	// Ingress bounds the memory of messages; nil sets no bound.
 	Ingress *ingress.Gate
+
+	members members
 }
 
 // notOwnerRejection is the response to a call at an instance that is not the owner.
@@ -165,6 +168,8 @@
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxMessageBytes)
 	c := &serverConn{sender: sender{conn: conn}}
+	s.members.add(c, r)
+	defer s.members.remove(c)
 	ctx, stop := context.WithCancel(r.Context())
 	defer stop()
 	for {
@@ -269,14 +274,19 @@
 	closed bool                     // protected by mu; calls are rejected
 }
 
-// Dial connects to the owner's process with the given incarnation at an address (IP:port). onNewerConfig receives the
+// Dial connects to the owner's process with the given incarnation at an address (IP:port). memoryMB is the memory of this
+// instance in megabytes, 0 without a limit. onNewerConfig receives the
 // owner's configuration when it is newer than the caller's; onLost is called once when the connection ends. Dial returns
 // ErrProcessMismatch if another process answers and ErrSilent if nobody does.
-func Dial(ctx context.Context, address, incarnation string, onNewerConfig func(document []byte),
+func Dial(ctx context.Context, address, incarnation string, memoryMB int, onNewerConfig func(document []byte),
 	onLost func()) (*Client, error) {
 	dialCtx, stopDial := context.WithTimeout(ctx, dialTimeout)
 	defer stopDial()
-	target := "ws://" + address + Path + "?" + url.Values{incarnationParameter: {incarnation}}.Encode()
+	query := url.Values{incarnationParameter: {incarnation}}
+	if memoryMB > 0 {
+		query.Set(memoryParameter, strconv.Itoa(memoryMB))
+	}
+	target := "ws://" + address + Path + "?" + query.Encode()
 	conn, res, err := websocket.Dial(dialCtx, target,
 		&websocket.DialOptions{CompressionMode: websocket.CompressionDisabled})
 	if res != nil && res.StatusCode == http.StatusMisdirectedRequest {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -51,7 +51,7 @@
 		Catalog: func() *catalog.Catalog { return current }, Log: hclog.NewNullLogger(),
 	})
 	t.Cleanup(server.Close)
-	client, err := Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), "one", onNewerConfig, func() {})
+	client, err := Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), "one", 0, onNewerConfig, func() {})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -118,7 +118,7 @@
 func TestProcessMismatch(t *testing.T) {
 	server := httptest.NewServer(&Server{Incarnation: "two", Log: hclog.NewNullLogger()})
 	t.Cleanup(server.Close)
-	if _, err := Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), "one", nil, func() {}); !errors.Is(err, ErrProcessMismatch) {
+	if _, err := Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), "one", 0, nil, func() {}); !errors.Is(err, ErrProcessMismatch) {
 		t.Errorf("%v", err)
 	}
 }
@@ -179,7 +179,7 @@
 		<-lost // reads nothing, so it answers no ping
 	}))
 	defer mute.Close()
-	client, err := Dial(t.Context(), strings.TrimPrefix(mute.URL, "http://"), "one", nil, func() { close(lost) })
+	client, err := Dial(t.Context(), strings.TrimPrefix(mute.URL, "http://"), "one", 0, nil, func() { close(lost) })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -193,12 +193,12 @@
 		t.Fatal(err)
 	}
 	defer deaf.Close()
-	if _, err := Dial(t.Context(), deaf.Addr().String(), "one", nil, func() {}); !errors.Is(err, ErrSilent) {
+	if _, err := Dial(t.Context(), deaf.Addr().String(), "one", 0, nil, func() {}); !errors.Is(err, ErrSilent) {
 		t.Errorf("dialling an instance that does not answer: %v, want ErrSilent", err)
 	}
 	closed := httptest.NewServer(http.NotFoundHandler())
 	closed.Close()
-	if _, err := Dial(t.Context(), strings.TrimPrefix(closed.URL, "http://"), "one", nil, func() {}); err == nil || errors.Is(err, ErrSilent) {
+	if _, err := Dial(t.Context(), strings.TrimPrefix(closed.URL, "http://"), "one", 0, nil, func() {}); err == nil || errors.Is(err, ErrSilent) {
 		t.Errorf("dialling an instance that rejects connections: %v, want another error than ErrSilent", err)
 	}
 }
@@ -238,7 +238,7 @@
 		roundTripMS = 1000
 	)
 	address, requests := newIdleOwner(t)
-	client, err := Dial(t.Context(), address, "one", func([]byte) {}, func() {})
+	client, err := Dial(t.Context(), address, "one", 0, func([]byte) {}, func() {})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -284,7 +284,7 @@
 // Guards against a limit that replaces an earlier deadline of the caller.
 func TestEarlierDeadlineCounts(t *testing.T) {
 	address, _ := newIdleOwner(t)
-	client, err := Dial(t.Context(), address, "one", func([]byte) {}, func() {})
+	client, err := Dial(t.Context(), address, "one", 0, func([]byte) {}, func() {})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -323,7 +323,7 @@
 				}
 			}()
 			start := time.Now()
-			_, err = Dial(context.Background(), listener.Addr().String(), "one", func([]byte) {}, func() {})
+			_, err = Dial(context.Background(), listener.Addr().String(), "one", 0, func([]byte) {}, func() {})
 			if !errors.Is(err, ErrSilent) || time.Since(start) > time.Second {
 				t.Errorf("%v after %v, want %v within 1 s", err, time.Since(start), ErrSilent)
 			}
--- a/internal/link/thin_test.go
+++ b/internal/link/thin_test.go
@@ -92,7 +92,7 @@
 		Catalog: func() *catalog.Catalog { return current }, Log: hclog.NewNullLogger(),
 	})
 	t.Cleanup(server.Close)
-	client, err := Dial(t.Context(), thinLink(t, strings.TrimPrefix(server.URL, "http://")), "one", onNewerConfig, onLost)
+	client, err := Dial(t.Context(), thinLink(t, strings.TrimPrefix(server.URL, "http://")), "one", 0, onNewerConfig, onLost)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -111,6 +111,7 @@
 	// evacuations is what the process knows of evacuated zones, also as the owner.
 	evacuations *owner.Evacuations
 	gate        *ingress.Gate
+	peers       *link.Server
 }
 
 // Run serves until ctx ends, then resigns as the owner and completes the requests in flight.
@@ -136,8 +137,11 @@
 		Eligible:            n.eligible,
 	}
 	n.gate.Headers = n.headerLimits
+	n.peers = &link.Server{
+		Incarnation: n.elector.Self.Incarnation, Owner: n.localService, Catalog: func() *catalog.Catalog { return n.entry.Catalog() },
+		Log: cfg.Log.Named("link"), Ingress: n.gate}
 	n.entry = &entry.Entry{
-		Elector: n.elector, LocalOwner: n.localService, DecodeCatalog: n.decodeCatalog, Log: cfg.Log.Named("entry")}
+		MemoryMB: cfg.MemoryMB, Elector: n.elector, LocalOwner: n.localService, DecodeCatalog: n.decodeCatalog, Log: cfg.Log.Named("entry")}
 
 	servers := n.servers()
 	if err := n.start(servers); err != nil {
@@ -223,7 +227,7 @@
 		Store: n.cfg.Store, Workers: n.cfg.Workers, Control: n.cfg.Control, Advice: n.cfg.Advice,
 		Codec: n.cfg.Codec, Evacuations: n.evacuations,
 		Catalog: n.entry.Catalog, OnCatalog: n.entry.SetCatalog, Name: n.cfg.Name, Timing: n.cfg.Timing,
-		MemoryMB:       n.cfg.MemoryMB,
+		MemoryMB: n.cfg.MemoryMB, SmallestEntryMB: n.peers.SmallestMB,
 		MaxRecordBytes: n.cfg.MaxRecordBytes, MaxAppendBytes: n.cfg.MaxAppendBytes, Overload: n.cfg.Overload,
 		Scope: n.cfg.Scope.SubScope("owner"), Log: n.cfg.Log.Named("owner"),
 	}, term)
@@ -283,9 +287,7 @@
 		}
 	})
 	peers := http.NewServeMux()
-	peers.Handle(link.Path, &link.Server{
-		Incarnation: n.elector.Self.Incarnation, Owner: n.localService, Catalog: n.entry.Catalog,
-		Log: n.cfg.Log.Named("link"), Ingress: n.gate})
+	peers.Handle(link.Path, n.peers)
 	serve := func(s *http.Server, l net.Listener) error { return s.Serve(l) }
 	list := []server{
 		{n.httpServer(ingress.Clients, n.closeWhileStopping(n.cfg.NewClientHandler(n.entry))), n.cfg.ClientAddress, ingress.Clients, true, serve},
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -108,7 +108,9 @@
 		j.specWritten = true
 		records = append(records, topic.Record{Key: jobKeyPrefix + id, Value: o.encode(j.spec)})
 	}
-	records = append(records, o.progressRecord(j))
+	if finished || j.progress.Begun || j.progress.State != workload.Active { // a successor knows the others from their specification
+		records = append(records, o.progressRecord(j))
+	}
 	if finished && !j.specDeleted {
 		j.specDeleted = true
 		records = append(records, topic.Record{Key: jobKeyPrefix + id})
--- a/internal/owner/earlycancel.go
+++ b/internal/owner/earlycancel.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -93,9 +94,9 @@
 	return false
 }
 
-// expire removes the entries whose latest cancel came before the given time and returns the IDs of their jobs.
-func (e *earlyCancels) expire(beforeMS int64) []string {
-	var expired []string
+// expire removes the entries whose latest cancel came before the given time and returns them by job.
+func (e *earlyCancels) expire(beforeMS int64) map[string]earlyCancel {
+	expired := map[string]earlyCancel{}
 	for len(e.queue) > 0 && e.queue[0].cancelledMS < beforeMS {
 		id := e.queue[0].id
 		e.queue = e.queue[1:]
@@ -110,11 +111,25 @@
 			}
 		}
 		delete(e.byJob, id)
-		expired = append(expired, id)
+		expired[id] = c
 	}
 	return expired
 }
 
+// cancelBytes returns what a cancel of an unknown job takes.
+func cancelBytes(id string) int64 { return earlyCancelBytes + idCopies*int64(len(id)) }
+
+// bytesByOrganisation returns what all cancels take.
+func (e *earlyCancels) bytesByOrganisation() map[string]int64 {
+	bytes := map[string]int64{}
+	for id, c := range e.byJob {
+		for organisation := range c {
+			bytes[organisation] += cancelBytes(id)
+		}
+	}
+	return bytes
+}
+
 // cancelEarly records the cancel of a job that does not exist, and then says so. The record also confirms the term.
 func (o *Owner) cancelEarly(id, organisation string, r reply) {
 	deny := func() { o.denyJob("cancel", id, r) }
@@ -129,6 +144,14 @@
 		r.send(&jobs.Rejection{Reason: "too many cancels of unknown jobs", RetryAfter: time.Second, Overloaded: true})
 		return
 	}
+	if _, repeated := o.earlyCancels.byJob[id][organisation]; !repeated {
+		if rejection := o.admitBytes(organisation, cancelBytes(id), 0); rejection != nil {
+			r.send(rejection)
+			return
+		}
+		o.accounts.accepted.Add(organisation, cancelBytes(id))
+		id = strings.Clone(id) // it may be part of a long address
+	}
 	c := o.earlyCancels.add(id, organisation, time.Now().UnixMilli())
 	o.queueRecord(topic.Record{Key: earlyCancelKeyPrefix + id, Value: o.encode(c)})
 	o.afterCommit(deny)
@@ -136,7 +159,10 @@
 
 // expireEarlyCancels deletes the cancels that have been kept long enough.
 func (o *Owner) expireEarlyCancels(now time.Time) {
-	for _, id := range o.earlyCancels.expire(now.Add(-o.statusRetention()).UnixMilli()) {
+	for id, c := range o.earlyCancels.expire(now.Add(-o.statusRetention()).UnixMilli()) {
+		for organisation := range c {
+			o.accounts.accepted.Add(organisation, -cancelBytes(id))
+		}
 		o.queueRecord(topic.Record{Key: earlyCancelKeyPrefix + id})
 	}
 }
--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -235,7 +235,13 @@
 	return n
 }
 
-func (p *placement) step() *workload.Step { return &p.job.spec.Steps[p.ref.Step] }
+// step returns the step of the run. It is kept, since the run may outlast what its job keeps of the specification.
+func (p *placement) step() *workload.Step {
+	if p.stepSpec == nil {
+		p.stepSpec = &p.job.spec.Steps[p.ref.Step]
+	}
+	return p.stepSpec
+}
 
 // tryDrain evicts the long-running tasks of a cordoned instance within their budgets and reports whether it may go down now.
 func (o *Owner) tryDrain(inst *instance, now time.Time) bool {
--- a/internal/owner/flight.go
+++ b/internal/owner/flight.go
@@ -149,6 +149,7 @@
 		j.neverRecorded, j.submissions = false, nil
 		j.recordedStatus = f.statuses[i]
 		j.notifyWaiters()
+		o.forgetSpec(j)
 	}
 	runAll(o.giveUpJobs(refused, f.effects))
 	o.releaseHeld(f)
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -71,6 +71,7 @@
 	catalog     atomic.Pointer[catalog.Catalog]
 	workerInfos map[string]workers.Info
 	fence       int64
+	memoryMB    int          // of the instances
 	evacuations *Evacuations // of the next owner's process; none are known unless a test sets it
 }
 
@@ -188,7 +189,7 @@
 	return Config{
 		Store: h.ownerStore, Workers: h.workers, Control: h.control, Advice: h.advice, Codec: codec{}, Catalog: h.catalog.Load,
 		Evacuations: h.knownEvacuations(), OnCatalog: func(*catalog.Catalog) {}, Name: fmt.Sprint("owner-", h.fence),
-		MaxRecordBytes: 64 << 10, MaxAppendBytes: 1 << 20, Scope: h.scope,
+		MemoryMB: h.memoryMB, MaxRecordBytes: 64 << 10, MaxAppendBytes: 1 << 20, Scope: h.scope,
 		Timing: Timing{MaxLease: 10 * time.Second, StopTime: 50 * time.Millisecond, StatusRetention: time.Minute,
 			MaintenanceTime: 200 * time.Millisecond},
 		Log: log,
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -14,12 +14,15 @@
 	runsLost, maintenanceStarts, moves       tally.Counter
 	preempted, placementRounds               tally.Counter
 	zoneEvictions                            tally.Counter
+	rejectedForMemory                        tally.Counter            // jobs and cancels
 	startsWithheld                           tally.Counter            // decided before the evacuation of their zone
 	recordsRefused                           tally.Counter            // by the store, for good
 	checkpointsOmitted                       tally.Counter            // records of progress without all checkpoints
 	ended                                    map[string]tally.Counter // jobs by state
 	appendLatency, recovery, firstStartDelay tally.Histogram
-	active, workers, startsInFlight          tally.Gauge
+	active, workers                          tally.Gauge
+	// Memory charged for accepted work, its highest value in the term, and for begun work; starts without an answer.
+	acceptedBytes, acceptedHighest, begunBytes, startsInFlight tally.Gauge
 	// Evacuated zones, and the runs still there.
 	zonesEvacuated, evacuatedRuns, evacuatedLongRunning tally.Gauge
 	// Progress of recoveries; recoveryRecords is that of the last one.
@@ -38,6 +41,7 @@
 		unansweredStartsListed: scope.Counter("unanswered_starts_listed"),
 		runsLost:               scope.Counter("runs_lost"), maintenanceStarts: scope.Counter("upkeeps"), moves: scope.Counter("moves"),
 		preempted: scope.Counter("runs_preempted"), placementRounds: scope.Counter("placement_rounds"),
+		rejectedForMemory:  scope.Counter("rejected_for_memory"),
 		recordsRefused:     scope.Counter("records_refused"),
 		checkpointsOmitted: scope.Counter("checkpoints_omitted"), startsWithheld: scope.Counter("starts_withheld"),
 		zoneEvictions:   scope.Counter("zone_evictions"),
@@ -45,7 +49,8 @@
 		recovery:        scope.Histogram("recovery", durationBuckets),
 		firstStartDelay: scope.Histogram("first_start", durationBuckets),
 		active:          scope.Gauge("jobs_active"), workers: scope.Gauge("workers_held"),
-		startsInFlight: scope.Gauge("starts_in_flight"),
+		acceptedBytes: scope.Gauge("accepted_bytes"), acceptedHighest: scope.Gauge("accepted_bytes_highest"),
+		begunBytes: scope.Gauge("begun_bytes"), startsInFlight: scope.Gauge("starts_in_flight"),
 		zonesEvacuated: scope.Gauge("zones_evacuated"), evacuatedRuns: scope.Gauge("evacuated_zone_runs"),
 		evacuatedLongRunning: scope.Gauge("evacuated_zone_long_running"),
 		recoveryPages:        scope.Counter("recovery_pages"), recoveryBytes: scope.Counter("recovery_bytes"),
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -93,8 +93,10 @@
 	// Name identifies this instance to the instance service and to operators.
 	Name   string
 	Timing Timing
-	// MemoryMB is the memory of the instance, 0 without a limit.
-	MemoryMB int
+	// MemoryMB is the memory of the instance, 0 without a limit. SmallestEntryMB returns that of the smallest instance that may
+	// become the next owner, 0 if it is unknown; it may be nil.
+	MemoryMB        int
+	SmallestEntryMB func() int64
 	// MaxRecordBytes limits a record in the store, MaxAppendBytes a single append.
 	MaxRecordBytes, MaxAppendBytes int
 	Overload                       OverloadPolicy
@@ -126,9 +128,10 @@
 	commit           committer
 	rounds           roundBuffers
 	overload         overloadState
-	accounts         accounts
 	rejections       logs.Summary
-	replan           bool // a change may allow further placements
+	accounts         accounts
+	terms            map[*catalog.Queue]*workload.QueueTerms // of queues of the active configuration
+	replan           bool                                    // a change may allow further placements
 	lastPlacementTry time.Time
 	fleet            fleetState
 	// pendingCPU is the CPU requested by tasks that could not be placed, by pool, in thousandths of a core.
@@ -152,11 +155,14 @@
 	progress *workload.Progress
 	// unrecordedChanges counts changes that the store has not acknowledged.
 	unrecordedChanges int
-	dirty             bool        // queued for the next append
-	specWritten       bool        // an append contains or contained the specification
-	recordsEndOnly    bool        // its progress could not be recorded, so that its tasks are left out
-	neverRecorded     bool        // no append with the job has been acknowledged
-	specDeleted       bool        // the record of the specification was deleted
+	dirty             bool // queued for the next append
+	specWritten       bool // an append contains or contained the specification
+	recordsEndOnly    bool // its progress could not be recorded, so that its tasks are left out
+	neverRecorded     bool // no append with the job has been acknowledged
+	specDeleted       bool // the record of the specification was deleted
+	specForgotten     bool // spec has only what is needed of an ended job
+	charge            charge
+	placed            int         // runs
 	recordedStatus    jobs.Status // latest status acknowledged by the store
 	waiters           []func()    // called once the job's end is recorded
 	submissions       []reply     // calls to reject if the job is withdrawn before it is recorded
@@ -259,8 +265,15 @@
 // adoptRecords restores the state of which the records were loaded.
 func (o *Owner) adoptRecords() {
 	o.earlyCancels.sort()
+	for organisation, n := range o.earlyCancels.bytesByOrganisation() {
+		o.accounts.accepted.Add(organisation, n)
+	}
 	for id, j := range o.jobs {
-		o.adoptJob(id, j)
+		if o.adoptJob(id, j) {
+			o.account(j)
+		} else {
+			delete(o.jobs, id)
+		}
 	}
 	slices.SortFunc(o.ended, func(a, b endedJob) int { return cmp.Compare(a.endedMS, b.endedMS) })
 }
@@ -274,28 +287,28 @@
 	return j
 }
 
-// adoptJob restores a recorded job. Placed tasks count as running until their worker reports otherwise.
-func (o *Owner) adoptJob(id string, j *job) {
+// adoptJob restores a recorded job and reports whether it can be kept. Placed tasks count as running until their worker
+// reports otherwise.
+func (o *Owner) adoptJob(id string, j *job) bool {
 	if err := j.check(); err != nil {
 		o.log.Error("malformed job skipped: its records stay in the store", "job", id, "err", err)
-		delete(o.jobs, id)
-		return
+		return false
 	}
-	if j.progress == nil {
+	if j.progress == nil { // no task was placed
 		j.progress = workload.NewProgress(j.spec)
-		j.progress.CreateDue(j.spec, time.Now().UnixMilli())
+		j.progress.CreateUpTo(j.spec, time.Now().UnixMilli(), 1)
 	}
 	j.specWritten = true
 	j.recordedStatus = j.status()
 	if j.spec == nil {
 		if j.progress.State == workload.Active {
 			o.log.Error("active job dropped: its specification is not recorded", "job", id)
-			delete(o.jobs, id)
-			return
+			return false
 		}
-		j.specDeleted = true
+		j.specDeleted, j.specForgotten = true, true
+		j.spec = &workload.Job{ID: id, Queue: j.progress.Queue, Organisation: j.progress.Organisation}
 		o.ended = append(o.ended, endedJob{id, j.progress.EndedMS})
-		return
+		return true
 	}
 	if j.progress.State == workload.Active {
 		o.active[id] = j
@@ -304,6 +317,7 @@
 		o.ended = append(o.ended, endedJob{id, j.progress.EndedMS})
 	}
 	j.progress.EachPlaced(func(ref workload.TaskRef, t *workload.Task) { o.adoptRun(j, ref, t) })
+	return true
 }
 
 // check returns the first reason why recorded parts of a job cannot be used. A malformed record must not end the
@@ -402,7 +416,7 @@
 			continue
 		}
 		o.recordUpcoming(j, now)
-		if j.progress.CreateDue(j.spec, now.Add(o.cfg.Timing.EarlyStart/2).UnixMilli()) {
+		if o.createDue(j, now.Add(o.cfg.Timing.EarlyStart/2)) {
 			o.markDirty(j)
 			o.replan = true
 		}
@@ -440,7 +454,7 @@
 		}
 		o.ended = o.ended[1:]
 		if j != nil {
-			delete(o.jobs, id)
+			o.dropJob(j)
 			o.queueRecord(topic.Record{Key: progressKeyPrefix + id})
 			o.queueRecord(topic.Record{Key: jobKeyPrefix + id})
 		}
@@ -456,6 +470,10 @@
 	}
 	o.metrics.workers.Update(float64(established))
 	o.updateEvacuationGauges()
+	o.updateLimits()
+	o.metrics.acceptedBytes.Update(float64(o.accounts.accepted.Used()))
+	o.metrics.acceptedHighest.Update(float64(o.accounts.highest))
+	o.metrics.begunBytes.Update(float64(o.accounts.begun.Used()))
 	o.metrics.startsInFlight.Update(float64(o.accounts.starts))
 	o.metrics.active.Update(float64(len(o.active)))
 }
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -58,7 +58,7 @@
 		// The entry has a newer configuration than this instance, or an older one.
 		return &jobs.Rejection{Reason: "the queue is not known to the owner", RetryAfter: time.Second}
 	}
-	spec.Terms = workload.TermsOf(q)
+	spec.Terms = o.termsOf(q)
 	if size := len(o.encode(spec)) + recordSize(topic.Record{Key: jobKeyPrefix + spec.ID}); size > o.cfg.MaxRecordBytes {
 		// An append that the store never accepts would block all later decisions.
 		return errTooLarge
@@ -73,9 +73,23 @@
 			}
 		}
 	}
+	if rejection := o.admitBySize(spec, q); rejection != nil {
+		return rejection
+	}
 	return o.admitByForecast(spec, q, time.Now())
 }
 
+// termsOf returns the terms of a queue, which its jobs share.
+func (o *Owner) termsOf(q *catalog.Queue) *workload.QueueTerms {
+	if o.terms[q] == nil {
+		if o.terms == nil || o.cfg.Catalog().Queues[q.Name] == q && len(o.terms) > 2*len(o.cfg.Catalog().Queues) {
+			o.terms = map[*catalog.Queue]*workload.QueueTerms{} // those of earlier configurations go with it
+		}
+		o.terms[q] = workload.TermsOf(q)
+	}
+	return o.terms[q]
+}
+
 // readyStep is a step whose predecessors are done and that has waiting tasks.
 type readyStep struct {
 	job        *job
@@ -203,6 +217,7 @@
 	overload *poolOverload
 	// guaranteed is the part of the shares within which the kept jobs of an overloaded pool go first.
 	guaranteed map[string]int64
+	labels     map[string]bool // of all workers; nil until a step requires one
 	// constrained reports whether the candidates have the properties of a step that constrains its workers.
 	constrained bool
 }
@@ -298,6 +313,9 @@
 	if view.doesNotFit != nil && view.doesNotFit.FitsIn(need) {
 		return need.CPU * o.countWithinLimit(r)
 	}
+	if step.RequiredLabel != "" && !view.carries(step.RequiredLabel) {
+		return need.CPU * o.countWithinLimit(r)
+	}
 	if !o.mayStart(r, need) {
 		return 0
 	}
@@ -309,8 +327,9 @@
 	view.prepare(step, key, advised, now)
 	name := r.job.spec.Organisation
 	usage := o.usage[name]
-	// Tasks that wait for room in the record, or for answers to other starts, need no further instance.
+	// Tasks that wait for room in the record or in the budgets, or for answers to other starts, need no further instance.
 	room, held := o.roomForPlacements(r.job), false
+	begin := r.beginBytes()
 	doesNotFit := view.doesNotFit
 	var workerIndexes []int
 	var taskIndexes []int
@@ -337,7 +356,8 @@
 			held = true // the other tasks wait until some of these have ended
 			break
 		}
-		if !step.Gang && o.accounts.starts+len(workerIndexes) >= o.accounts.maxStarts {
+		if placed := len(workerIndexes); !o.accounts.begun.Fits(name, begin+int64(placed+1)*runBytes, 0) ||
+			!step.Gang && o.accounts.starts+placed >= o.accounts.maxStarts {
 			held = true
 			break
 		}
@@ -376,17 +396,34 @@
 			"tasks", len(taskIndexes), "of", step.Count, "config", o.cfg.Catalog().Version,
 			"age_ms", time.Now().UnixMilli()-r.job.spec.ReceivedMS)
 	}
+	if len(taskIndexes) > 0 && begin > 0 {
+		o.account(r.job)
+	}
 	if held {
 		return 0
 	}
 	return need.CPU * o.countWithinLimit(r)
 }
 
-// mayStart reports whether a step may start a task in this round. Those that wait for answers to other starts
+// mayStart reports whether a step may start a task in this round. Those that wait for answers to other starts, or for memory,
 // are not tried, since a crowd may have thousands of them.
 func (o *Owner) mayStart(r *readyStep, need catalog.Resources) bool {
 	paced := r.view.paced != nil && r.view.paced.FitsIn(need) || o.accounts.starts >= o.accounts.maxStarts
-	return !paced || r.job.spec.Steps[r.step].Gang
+	return (!paced || r.job.spec.Steps[r.step].Gang) &&
+		o.accounts.begun.Fits(r.job.spec.Organisation, r.beginBytes()+runBytes, 0)
+}
+
+// carries reports whether a worker has a label. Many jobs may wait for labels that none has.
+func (v *poolView) carries(label string) bool {
+	if v.labels == nil {
+		v.labels = map[string]bool{}
+		for _, w := range v.workers {
+			for _, l := range w.info.Labels {
+				v.labels[l] = true
+			}
+		}
+	}
+	return v.labels[label]
 }
 
 // startsPaced reports whether a worker gets no more starts until others are answered.
--- a/internal/owner/recovery.go
+++ b/internal/owner/recovery.go
@@ -88,7 +88,7 @@
 	o.lastTurn = leader.BootTime()
 	o.adoptRecords()
 	o.metrics.recovery.RecordDuration(time.Since(r.began))
-	r.log(hclog.Info, "owner recovered", "active_jobs", len(o.active))
+	r.log(hclog.Info, "owner recovered", "active_jobs", len(o.active), "job_bytes", o.accounts.accepted.Used())
 	return nil
 }
 
--- a/internal/owner/refused.go
+++ b/internal/owner/refused.go
@@ -117,8 +117,7 @@
 func (o *Owner) withdrawRefused(j *job) func() {
 	id, submissions := j.spec.ID, j.submissions
 	j.submissions = nil
-	delete(o.jobs, id)
-	delete(o.active, id)
+	o.dropJob(j)
 	o.commit.dirtyJobs = slices.DeleteFunc(o.commit.dirtyJobs, func(other *job) bool { return other == j })
 	o.queueRecord(topic.Record{Key: jobKeyPrefix + id})
 	o.queueRecord(topic.Record{Key: progressKeyPrefix + id})
--- a/internal/owner/refused_test.go
+++ b/internal/owner/refused_test.go
@@ -109,7 +109,9 @@
 		h.addWorker(strings.Repeat("w", 200), 20*time.Millisecond)
 		o := h.startOwner(true)
 		var rejection *jobs.Rejection
-		if err := o.Submit(t.Context(), newJob("large", 300)); !errors.As(err, &rejection) || !rejection.Permanent {
+		large := newJob("large", 300)
+		large.Spec = strings.Repeat("s", 600)
+		if err := o.Submit(t.Context(), large); !errors.As(err, &rejection) || !rejection.Permanent {
 			t.Errorf("%v, want a permanent rejection", err)
 		}
 		h.await("nothing of the rejected job is stored", func() bool {
@@ -125,6 +127,9 @@
 		h.fleet.At("address-of-" + strings.Repeat("w", 200)).RefuseStarts(nil)
 		h.awaitState(o, "a", workload.Completed)
 		h.awaitState(o, "growing", workload.Failed)
+		if err := o.Submit(t.Context(), newJob("many", 300)); !errors.As(err, &rejection) || !rejection.Permanent {
+			t.Errorf("%v, want a permanent rejection: the progress is recorded with the first placement", err)
+		}
 		time.Sleep(settle)
 		if n := len(h.fleet.Starts()); n != 1 {
 			t.Errorf("%d starts, want that of the usual job", n)
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -35,6 +35,7 @@
 // reserve adds a placement to the usage of its worker and of its organisation.
 func (o *Owner) reserve(w *worker, p *placement) {
 	step := p.step()
+	p.job.placed++
 	w.runs[p.taskName] = p
 	w.used.resources = w.used.resources.Add(step.ReservedResources())
 	if step.LongRunning {
@@ -46,6 +47,7 @@
 	w.used.tasksPerStep[p.stepKey()]++
 	org := p.job.spec.Organisation
 	o.usage[org] = o.usage[org].Add(step.Resources)
+	o.accounts.begun.Add(org, runBytes)
 	if w.used.organisations == nil {
 		w.used.organisations = map[string]int64{}
 	}
@@ -56,6 +58,9 @@
 func (o *Owner) release(w *worker, p *placement) {
 	step := p.step()
 	delete(w.runs, p.taskName)
+	if p.job.placed--; p.job.placed == 0 {
+		o.forgetSpec(p.job)
+	}
 	w.idleSince = time.Now()
 	w.used.resources = w.used.resources.Sub(step.ReservedResources())
 	if step.LongRunning {
@@ -67,6 +72,7 @@
 	}
 	org := p.job.spec.Organisation
 	o.usage[org] = o.usage[org].Sub(step.Resources)
+	o.accounts.begun.Add(org, -runBytes)
 	if w.used.organisations[org] -= step.ReservedResources().CPU; w.used.organisations[org] == 0 {
 		delete(w.used.organisations, org)
 	}
@@ -353,8 +359,8 @@
 func (o *Owner) endRun(w *worker, p *placement, end workers.RunEnd) {
 	j := p.job
 	o.noteStarted(j)
+	longRunning := p.step().LongRunning
 	o.release(w, p)
-	longRunning := j.spec.Steps[p.ref.Step].LongRunning
 	result := workload.Interrupted
 	switch end.Reason {
 	case workers.Done:
@@ -391,8 +397,11 @@
 		return
 	}
 	o.markDirty(j)
-	if transition == workload.JobEnded {
+	switch {
+	case transition == workload.JobEnded:
 		o.endJob(j)
+	case transition == workload.Released, transition == workload.TaskFinished && j.spec.IsScheduled():
+		o.account(j) // an occurrence may have ended
 	}
 }
 
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -76,6 +76,10 @@
 			return
 		}
 		if o.earlyCancels.bind(spec) {
+			if rejection := o.admitBytes(spec.Organisation, endedBytes(spec.ID), 0); rejection != nil {
+				o.reject(spec.ID, rejection, r)
+				return
+			}
 			o.log.Info("job submitted after its cancel", "job", spec.ID)
 			j := o.newJob(spec)
 			j.progress.Cancel()
@@ -95,7 +99,8 @@
 		} else {
 			o.recordArrival(spec, time.Now())
 		}
-		j.progress.CreateDue(spec, time.Now().UnixMilli())
+		j.progress.CreateUpTo(spec, time.Now().UnixMilli(), 1)
+		o.account(j)
 		o.markDirty(j)
 		o.replan = true
 		o.acknowledge(j, r)
@@ -127,6 +132,7 @@
 
 // newJob adds a job that is not recorded yet.
 func (o *Owner) newJob(spec *workload.Job) *job {
+	spec.ID = strings.Clone(spec.ID) // it may be part of a long address
 	j := &job{spec: spec, progress: workload.NewProgress(spec), neverRecorded: true}
 	o.jobs[spec.ID] = j
 	return j
@@ -151,8 +157,7 @@
 		}
 		o.log.Info("job withdrawn: the store does not answer", "job", j.spec.ID, "append_ms", o.appendAge().Milliseconds())
 		o.metrics.rejected.Inc(1)
-		delete(o.jobs, j.spec.ID)
-		delete(o.active, j.spec.ID)
+		o.dropJob(j)
 		for _, r := range j.submissions {
 			r.send(o.storeStalled())
 		}
@@ -352,6 +357,7 @@
 	delete(o.active, id)
 	o.ended = append(o.ended, endedJob{id, j.progress.EndedMS})
 	o.markDirty(j)
+	o.account(j)
 	o.metrics.ended[j.progress.State.String()].Inc(1)
 	o.log.Info("job ended", "job", id, "state", j.progress.State.String(), "ms", j.progress.EndedMS-j.spec.ReceivedMS)
 	j.progress.EachPlaced(func(ref workload.TaskRef, t *workload.Task) {
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -45,6 +45,7 @@
 type placement struct {
 	job      *job
 	ref      workload.TaskRef
+	stepSpec *workload.Step // see step
 	taskName string
 	run      int
 	// confirmedAt is when the worker confirmed the start, or first reported the run; zero until then.
--- a/scenarios/crowd_test.go
+++ b/scenarios/crowd_test.go
@@ -46,9 +46,12 @@
 	process                            *exec.Cmd
 	// incarnation is the node's in the record of the owner.
 	incarnation string
-	peakRSS     atomic.Int64 // bytes
-	peakFDs     atomic.Int64
-	conns       []net.Conn
+	// key is the key of ordinary callers, "" for anonymous ones; ordinary counts their jobs.
+	key      string
+	ordinary atomic.Int64
+	peakRSS  atomic.Int64 // bytes
+	peakFDs  atomic.Int64
+	conns    []net.Conn
 }
 
 // buildForCrowds puts a build without the race detector first in PATH: the detector multiplies the memory of a process.
@@ -66,8 +69,12 @@
 
 // newCrowdNode starts a platform and a node with limits, and waits until the node is the owner.
 func newCrowdNode(t *testing.T, memoryMB, maxFDs, maxBodyBytes int) *crowdNode {
-	n := &crowdNode{t: t, dir: t.TempDir(), platform: crowdAddress(t), client: crowdAddress(t), api: crowdAddress(t), ready: crowdAddress(t)}
-	config := fmt.Sprintf(crowdConfig, maxBodyBytes)
+	return startCrowdNode(t, &crowdNode{t: t}, fmt.Sprintf(crowdConfig, maxBodyBytes), memoryMB, maxFDs)
+}
+
+// startCrowdNode starts a platform with a configuration, and a node with limits, and waits until the node is the owner.
+func startCrowdNode(t *testing.T, n *crowdNode, config string, memoryMB, maxFDs int) *crowdNode {
+	n.dir, n.platform, n.client, n.api, n.ready = t.TempDir(), crowdAddress(t), crowdAddress(t), crowdAddress(t), crowdAddress(t)
 	n.check(os.WriteFile(filepath.Join(n.dir, "config.json"), []byte(config), 0o600))
 	n.start("platform", nil, "dev", "platform", "--listen", n.platform, "--config", "config.json")
 	await(t, "the platform answers", func() bool { return n.status("http://"+n.platform+"/machines", 0) == http.StatusOK })
@@ -132,25 +139,41 @@
 		req, err = http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	}
 	n.check(err)
+	status, _ := n.answer(&client, req)
+	return status
+}
+
+// body returns the answer to a GET request on a new connection, "" without one.
+func (n *crowdNode) body(url string) string {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	n.check(err)
+	_, body := n.answer(&http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}, req)
+	return body
+}
+
+// answer returns the status and the body of the answer to an ordinary caller's request; 0 without an answer.
+func (n *crowdNode) answer(client *http.Client, req *http.Request) (status int, body string) {
 	req.Host = "h"
+	if n.key != "" {
+		req.Header.Set("Authorization", "Bearer "+n.key)
+	}
 	res, err := client.Do(req)
 	if err != nil {
-		return 0
+		return 0, ""
 	}
 	defer res.Body.Close()
-	if _, err := io.Copy(io.Discard, res.Body); err != nil {
-		return 0
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, ""
 	}
-	return res.StatusCode
+	return res.StatusCode, string(data)
 }
 
 // awaitService waits until an ordinary job is accepted.
 func (n *crowdNode) awaitService() {
 	n.t.Helper()
-	attempt := 0
 	await(n.t, "an ordinary job is accepted", func() bool {
-		attempt++
-		return n.status(fmt.Sprintf("http://%s/w/ordinary-%d", n.client, attempt), 1) == http.StatusOK
+		return n.status(fmt.Sprintf("http://%s/w/ordinary-%d", n.client, n.ordinary.Add(1)), 1) == http.StatusOK
 	})
 }
 
@@ -250,20 +273,26 @@
 	}
 	close(stop)
 	watcher.Wait()
+	n.checkUsage("the crowd", maxFDs)
+	for _, conn := range n.conns {
+		if conn != nil {
+			_ = conn.Close() // the node may have closed it
+		}
+	}
+}
+
+// checkUsage checks that the node lives, and that the recorded peaks are within its limits.
+func (n *crowdNode) checkUsage(phase string, maxFDs int) {
+	n.t.Helper()
 	if rss, _, _ := n.usage(); rss == 0 {
-		n.t.Error("the process has ended")
+		n.t.Errorf("%s: the process has ended", phase)
 	}
 	const mb = 1 << 20
 	if peak := n.peakRSS.Load(); peak > crowdMemoryMB*mb {
-		n.t.Errorf("%d MB resident, limit %d MB", peak/mb, crowdMemoryMB)
+		n.t.Errorf("%s: %d MB resident, limit %d MB", phase, peak/mb, crowdMemoryMB)
 	}
 	if peak := n.peakFDs.Load(); peak > int64(maxFDs-fileFDs) {
-		n.t.Errorf("%d open descriptors, limit %d without those for files", peak, maxFDs-fileFDs)
-	}
-	n.t.Logf("peak: %d MB resident, %d descriptors", n.peakRSS.Load()/mb, n.peakFDs.Load())
-	for _, conn := range n.conns {
-		if conn != nil {
-			_ = conn.Close() // the node may have closed it
-		}
+		n.t.Errorf("%s: %d open descriptors, limit %d without those for files", phase, peak, maxFDs-fileFDs)
 	}
+	n.t.Logf("%s: peak %d MB resident, %d descriptors", phase, n.peakRSS.Load()/mb, n.peakFDs.Load())
 }
