scenarios: play the crowds of accepted requests at several entries

A crowd that reaches the owner through another entry, and that entry as the successor, were not tested. Change: the crowds of all forms, one after the other, at two entries, then the owner killed.

--- a/scenarios/accepted_crowd_test.go
+++ b/scenarios/accepted_crowd_test.go
@@ -146,11 +146,16 @@
 	n.checkUsage(phase, manyFDs)
 }
 
-// replace kills the node and starts a successor, which reads what the store holds.
-func (n *crowdNode) replace() {
+// kill ends the process of the node.
+func (n *crowdNode) kill() {
 	_ = n.process.Process.Signal(syscall.SIGKILL) // fails if it has ended already
 	_ = n.process.Wait()
-	n.process = n.start("e1", settingsEnv(n.dir, "e1"), "node", "--settings", "e1.json")
+}
+
+// replace kills the node and starts a successor, which reads what the store holds.
+func (n *crowdNode) replace() {
+	n.kill()
+	n.startProcess()
 }
 
 // replaceRecovering replaces a successor as soon as it is elected.
@@ -191,3 +196,30 @@
 		})
 	}
 }
+
+// Guards against a crowd that reaches the owner through several entries, and against an entry that cannot take over what it
+// has passed on.
+func TestCrowdOfAcceptedRequestsAtSeveralEntries(t *testing.T) {
+	buildForCrowds(t)
+	owner := newAcceptedNode(t)
+	entry := &crowdNode{t: t, key: owner.key, dir: owner.dir, platform: owner.platform}
+	entry.startNode("e2", crowdMemoryMB, manyFDs)
+	for i, c := range acceptedCases() {
+		first := i * 1_000_000 // jobs of the cases have different IDs
+		c.requests /= 4
+		request := c.request
+		c.request = func(i int) (method, job, body string) { return request(first + i) }
+		owner.watched(c.name+", the owner", func() {
+			entry.watched(c.name+", an entry", func() {
+				var crowds sync.WaitGroup
+				for _, address := range []string{owner.client, entry.client} {
+					crowds.Go(func() { owner.accept(c, address) })
+				}
+				crowds.Wait()
+				entry.awaitCompletion()
+			})
+		})
+	}
+	owner.kill()
+	entry.watched("the entry as the successor", entry.awaitCompletion)
+}
--- a/scenarios/crowd_test.go
+++ b/scenarios/crowd_test.go
@@ -41,7 +41,7 @@
 // crowdNode is a node beside a stand-in platform, both in processes of their own.
 type crowdNode struct {
 	t                                  *testing.T
-	dir, platform                      string
+	dir, platform, name                string
 	client, api, ready, peers, metrics string
 	process                            *exec.Cmd
 	// incarnation is the node's in the record of the owner.
@@ -74,25 +74,36 @@
 
 // startCrowdNode starts a platform with a configuration, and a node with limits, and waits until the node is the owner.
 func startCrowdNode(t *testing.T, n *crowdNode, config string, memoryMB, maxFDs int) *crowdNode {
-	n.dir, n.platform, n.client, n.api, n.ready = t.TempDir(), crowdAddress(t), crowdAddress(t), crowdAddress(t), crowdAddress(t)
+	n.dir, n.platform = t.TempDir(), crowdAddress(t)
 	n.check(os.WriteFile(filepath.Join(n.dir, "config.json"), []byte(config), 0o600))
 	n.start("platform", nil, "dev", "platform", "--listen", n.platform, "--config", "config.json")
 	await(t, "the platform answers", func() bool { return n.status("http://"+n.platform+"/machines", 0) == http.StatusOK })
+	n.startNode("e1", memoryMB, maxFDs)
+	n.incarnation = ownerIncarnation(t, n.platform)
+	return n
+}
+
+// startNode starts a node with limits beside the platform and waits until it accepts jobs.
+func (n *crowdNode) startNode(name string, memoryMB, maxFDs int) {
+	n.name, n.client, n.api, n.ready = name, crowdAddress(n.t), crowdAddress(n.t), crowdAddress(n.t)
 	port, err := consecutivePorts()
 	n.check(err)
 	n.peers, n.metrics = fmt.Sprintf("127.0.0.1:%d", port), fmt.Sprintf("127.0.0.1:%d", port+1)
-	path := filepath.Join(n.dir, "e1")
-	n.check(writeNodeSettings(path, "e1", n.platform, n.api, n.client, n.ready, port))
+	path := filepath.Join(n.dir, name)
+	n.check(writeNodeSettings(path, name, n.platform, n.api, n.client, n.ready, port))
 	file, err := os.OpenFile(path+".toml", os.O_APPEND|os.O_WRONLY, 0)
 	n.check(err)
 	_, err = fmt.Fprintf(file, "[limits]\nmemory_mb = %d\nmax_fds = %d\n", memoryMB, maxFDs)
 	n.check(err)
 	n.check(file.Close())
-	n.process = n.start("e1", settingsEnv(n.dir, "e1"), "node", "--settings", "e1.json")
-	await(t, "the node is ready", func() bool { return n.status("http://"+n.ready+"/readiness", 0) == http.StatusOK })
+	n.startProcess()
+	await(n.t, "the node is ready", func() bool { return n.status("http://"+n.ready+"/readiness", 0) == http.StatusOK })
 	n.awaitService()
-	n.incarnation = ownerIncarnation(t, n.platform)
-	return n
+}
+
+// startProcess starts the process of the node.
+func (n *crowdNode) startProcess() {
+	n.process = n.start(n.name, settingsEnv(n.dir, n.name), "node", "--settings", n.name+".json")
 }
 
 func crowdAddress(t *testing.T) string {
