scenarios: replace a node before its usage is watched

Change: the successor is started before it is watched; its highest memory is the kernel's, from its start.

--- a/scenarios/accepted_crowd_test.go
+++ b/scenarios/accepted_crowd_test.go
@@ -187,10 +187,8 @@
 				n.settle()
 				n.awaitCompletion()
 			})
-			n.watched("a successor", func() {
-				n.replace()
-				n.awaitCompletion()
-			})
+			n.replace()
+			n.watched("a successor", n.awaitCompletion)
 			n.replaceRecovering()
 			n.watched("a successor of a recovering owner", n.awaitCompletion)
 		})
