--- a/internal/owner/account.go
+++ b/internal/owner/account.go
@@ -35,8 +35,9 @@
 	earlyCancelBytes = 640
 	// runBytes is a run that is placed.
 	runBytes = 600
-	// startBytes is a start that has not been answered: its goroutine, and the request in several encodings.
-	startBytes = 16 << 10
+	// startBytes is a start that has not been answered: its goroutine and its request. Most of them wait for their record or for
+	// a connection.
+	startBytes = 4 << 10
 	// idCopies is how often the ID of a job is held: in keys, records and names.
 	idCopies = 4
 )
