owner: bound what a connection's claim of memory can do

A connection to the port of the entries that claims an instance of 1 MB would have made the owner accept nothing (found in reading; the port is for the nodes only). Change: another instance counts for at least 64 MB. Measured: TestLimitsFollowTheSmallestInstance: with a claim of 1 MB the limit is that of 64 MB.

--- a/internal/owner/account.go
+++ b/internal/owner/account.go
@@ -21,6 +21,8 @@
 	startShare    = 16
 	// unlimitedMemoryMB is assumed of an instance without a limit.
 	unlimitedMemoryMB = 512
+	// minInstanceMB is the least memory that counts of another instance: what a connection claims must not stop the owner.
+	minInstanceMB = 64
 	// minBegunBytes holds the largest gang in half of the budget.
 	minBegunBytes = 8 << 20
 )
@@ -72,7 +74,7 @@
 	}
 	if o.cfg.SmallestEntryMB != nil {
 		if smallest := o.cfg.SmallestEntryMB(); smallest > 0 {
-			megabytes = min(megabytes, smallest)
+			megabytes = min(megabytes, max(smallest, minInstanceMB))
 		}
 	}
 	o.accounts.setMemory(megabytes)
--- a/internal/owner/account_test.go
+++ b/internal/owner/account_test.go
@@ -137,6 +137,19 @@
 	}
 }
 
+// Guards against limits of an instance that its smallest successor cannot hold, and against a connection that claims to be of
+// so small a one that nothing is accepted any more.
+func TestLimitsFollowTheSmallestInstance(t *testing.T) {
+	o := stoppedOwner(newHarness(t))
+	for _, c := range []struct{ own, smallest, want int64 }{{536, 0, 536}, {536, 184, 184}, {184, 536, 184}, {536, 1, 64}, {0, 0, 512}, {32, 1, 32}} {
+		o.cfg.MemoryMB, o.cfg.SmallestEntryMB = int(c.own), func() int64 { return c.smallest }
+		o.updateLimits()
+		if got := o.accounts.accepted.Limit(); got != c.want<<20/acceptedShare {
+			t.Errorf("own memory %d MB, smallest entry %d MB: limit %d, want that of %d MB", c.own, c.smallest, got, c.want)
+		}
+	}
+}
+
 // Guards against more starts than a worker can answer: they would time out, be stopped and be sent again.
 func TestStartsWaitForAnswers(t *testing.T) {
 	h := newHarness(t)
