ingress: search the end of chunks only in requests that have chunks

The connections of entries searched each of their reads for an empty line, and took a lock for limits that they do not have (found in reading; not measured). Change: the search is left out where the declared length decides, and ports without limits return before the lock. Measured: the tests of the package pass.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -208,9 +208,11 @@
 	if err := c.begun(data, now); err != nil {
 		return err
 	}
-	c.tail = int64(len(data))
-	if end := bytes.LastIndex(data, headerEnd); end >= 0 {
-		c.tail -= int64(end + len(headerEnd))
+	if c.requests == 0 || c.length < 0 {
+		c.tail = int64(len(data))
+		if end := bytes.LastIndex(data, headerEnd); end >= 0 {
+			c.tail -= int64(end + len(headerEnd))
+		}
 	}
 	if c.requests > 0 {
 		c.beyond += int64(len(data))
--- a/internal/ingress/header.go
+++ b/internal/ingress/header.go
@@ -65,6 +65,9 @@
 // without a limit, during a request, and with HTTP/2, whose frames are not headers.
 func (c *conn) headerDeadline() time.Time {
 	limits := c.gate.headerLimits(c.port)
+	if limits == (HeaderLimits{}) {
+		return time.Time{}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
