owner: record no occurrences of a schedule that waits

Cause: the progress of a job without a placement is not recorded, but a due occurrence marked the job as changed, and an append without records finished none of its jobs. Change: only the first record of a job leaves the progress out, and occurrences mark only jobs that have begun. Measured: TestOccurrencesOfAWaitingScheduleNeedNoRecord without it: "2 changes count as unrecorded".

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -181,8 +181,8 @@
 // has some 40 KB more in buffers.
 const tlsHandshake, tlsConnections = 22, 2
 
-// begun notes the first bytes of a connection. The caller holds mu.
-func (c *conn) begun(data []byte, now time.Time) error {
+// noteFirstByte notes how a connection begins. The caller holds mu.
+func (c *conn) noteFirstByte(data []byte, now time.Time) error {
 	if c.started || len(data) == 0 {
 		return nil
 	}
@@ -205,7 +205,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err := c.begun(data, now); err != nil {
+	if err := c.noteFirstByte(data, now); err != nil {
 		return err
 	}
 	if c.requests == 0 || c.length < 0 {
--- a/internal/owner/account_test.go
+++ b/internal/owner/account_test.go
@@ -172,6 +172,35 @@
 	}
 }
 
+// Guards against changes that count as unrecorded for ever: the occurrences of a schedule that waits need no record, since a
+// successor creates them as well.
+func TestOccurrencesOfAWaitingScheduleNeedNoRecord(t *testing.T) {
+	h := newHarness(t)
+	o := h.startOwner(true)
+	j := waitingJob("schedule", 4)
+	j.Repeats, j.PeriodMS, j.FirstDueMS = 5, 20, time.Now().UnixMilli()
+	h.submit(o, j)
+	h.await("all occurrences are due", func() (all bool) {
+		h.inLoop(o, func() { all = len(o.jobs["schedule"].progress.Current) == 5 })
+		return all
+	})
+	h.inLoop(o, func() {
+		if j := o.jobs["schedule"]; j.dirty || j.unrecordedChanges != 0 {
+			t.Errorf("dirty %v, %d changes count as unrecorded", j.dirty, j.unrecordedChanges)
+		}
+	})
+	if h.hasRecord(progressKeyPrefix + "schedule") {
+		t.Error("the progress of a job without a placement is recorded")
+	}
+	o.stop()
+	successor := h.startOwner(true)
+	h.await("a successor creates them", func() (all bool) {
+		h.inLoop(successor, func() { all = len(successor.jobs["schedule"].progress.Current) == 5 })
+		return all
+	})
+	successor.stop()
+}
+
 // Guards against a panic of the owner over runs that outlast what it keeps of their ended job: a gang ends as a whole with the
 // end of one member.
 func TestRunsOutlastTheSpecificationOfTheirJob(t *testing.T) {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -104,11 +104,12 @@
 func (o *Owner) appendJob(records []topic.Record, j *job) []topic.Record {
 	id := j.spec.ID
 	finished := j.progress.State != workload.Active && len(j.progress.Current) == 0
-	if !j.specWritten && !finished {
+	first := !j.specWritten && !finished
+	if first {
 		j.specWritten = true
 		records = append(records, topic.Record{Key: jobKeyPrefix + id, Value: o.encode(j.spec)})
 	}
-	if finished || j.progress.Begun || j.progress.State != workload.Active { // a successor knows the others from their specification
+	if !first || j.progress.Begun || j.progress.State != workload.Active { // a successor derives the rest from the specification
 		records = append(records, o.progressRecord(j))
 	}
 	if finished && !j.specDeleted {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -417,8 +417,10 @@
 		}
 		o.recordUpcoming(j, now)
 		if o.createDue(j, now.Add(o.cfg.Timing.EarlyStart/2)) {
-			o.markDirty(j)
 			o.replan = true
+			if j.progress.Begun { // else a successor creates them as well
+				o.markDirty(j)
+			}
 		}
 	}
 	if o.appendStalled() {
