--- a/internal/workload/size.go
+++ b/internal/workload/size.go
@@ -1,5 +1,10 @@
 package workload
 
+import (
+	"cmp"
+	"slices"
+)
+
 // Bounds of the encoded size of a job's progress. A record of the store is limited, and which workers a job's tasks will be
 // placed on is not known on submission.
 const (
@@ -81,3 +86,39 @@
 	}
 	return &reduced
 }
+
+// WithoutCheckpoints returns a copy that lacks the checkpoints of whole steps, those with the most bytes first, until at
+// least the given number of bytes is saved or none is left. Members of a gang keep the same checkpoint that way.
+func (p *Progress) WithoutCheckpoints(bytes int) *Progress {
+	type stepSize struct{ occurrence, step, bytes int }
+	var sizes []stepSize
+	for i, o := range p.Current {
+		for step, tasks := range o.Tasks {
+			n := 0
+			for k := range tasks.held {
+				n += len(tasks.held[k].Checkpoint)
+			}
+			sizes = append(sizes, stepSize{i, step, n})
+		}
+	}
+	slices.SortFunc(sizes, func(a, b stepSize) int { return cmp.Compare(b.bytes, a.bytes) })
+	reduced := *p
+	reduced.Current = make([]*Occurrence, len(p.Current))
+	for i, o := range p.Current {
+		copied := *o
+		copied.Tasks = slices.Clone(o.Tasks)
+		reduced.Current[i] = &copied
+	}
+	for _, s := range sizes {
+		if bytes <= 0 || s.bytes == 0 {
+			break
+		}
+		tasks := reduced.Current[s.occurrence].Tasks[s.step].clone()
+		for k := range tasks.held {
+			tasks.held[k].Checkpoint = ""
+		}
+		reduced.Current[s.occurrence].Tasks[s.step] = tasks
+		bytes -= s.bytes
+	}
+	return &reduced
+}
