owner: wait for the worker in the test of a refused record

Cause: a condition of the test read a worker that the owner did not know yet; the panic ended the term, and the test waited for an event that never ended. Change: the condition waits for the worker, and an event of a test that panics ends its wait, so that the test fails.

--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -213,7 +213,7 @@
 func (h *harness) inLoop(o *runningOwner, do func()) {
 	h.t.Helper()
 	done := make(chan bool)
-	if !o.post(func() { do(); close(done) }) {
+	if !o.post(func() { defer close(done); do() }) {
 		h.t.Fatal("the owner has stopped")
 	}
 	<-done
--- a/internal/owner/refused_test.go
+++ b/internal/owner/refused_test.go
@@ -120,7 +120,10 @@
 		h.fleet.At("address-of-" + strings.Repeat("w", 200)).RefuseStarts(workers.ErrInsufficientCapacity)
 		h.submit(o, newJob("a", 1))
 		h.await("the worker gets no work for a while", func() (refused bool) {
-			h.inLoop(o, func() { refused = !o.workers[strings.Repeat("w", 200)].backoffUntil.IsZero() })
+			h.inLoop(o, func() {
+				w := o.workers[strings.Repeat("w", 200)]
+				refused = w != nil && !w.backoffUntil.IsZero()
+			})
 			return refused
 		})
 		h.submit(o, newJob("growing", 3)) // three placements are too large for a record
