owner: charge nothing for a job that was removed

An owner would have kept some 800 bytes of the budget for each job whose end was acknowledged after its status was forgotten, as after an outage of the store of 150 s. Cause: the acknowledged end of a job that had been removed meanwhile charged what remains of an ended job. Change: a job that is not kept is not charged. TestRemovedJobHoldsNothing without the check: "812 bytes stay charged".

--- a/internal/owner/account.go
+++ b/internal/owner/account.go
@@ -118,8 +118,11 @@
 	return min(max(expires.Sub(now), minMemoryRetry), maxMemoryRetry)
 }
 
-// account charges a job for its present state.
+// account charges a job for its present state. One that was removed holds nothing, also if a record of it is acknowledged later.
 func (o *Owner) account(j *job) {
+	if o.jobs[j.spec.ID] != j {
+		return
+	}
 	spec, p := j.spec, j.progress
 	var c charge
 	switch {
--- a/internal/owner/account_test.go
+++ b/internal/owner/account_test.go
@@ -100,6 +100,22 @@
 	o.stop()
 }
 
+// Guards against a charge that stays: a job may be forgotten before the record of its end is acknowledged, after an outage of
+// the store that lasts longer than its status is kept.
+func TestRemovedJobHoldsNothing(t *testing.T) {
+	o := stoppedOwner(newHarness(t))
+	j := o.addActiveJob(waitingJob("job", 8))
+	o.account(j)
+	j.progress.Cancel()
+	o.endJob(j)
+	f := o.takeDecisions()
+	o.dropJob(j)
+	o.finish(f)
+	if used := o.accounts.accepted.Used(); used != 0 {
+		t.Errorf("%d bytes stay charged", used)
+	}
+}
+
 // Guards against a job that begins although the memory for its tasks is taken, and against one that then never begins.
 func TestJobsBeginWithinTheirBudget(t *testing.T) {
 	h := newHarness(t)
