--- a/review/world-3/worker.go
+++ b/review/world-3/worker.go
@@ -20,8 +20,10 @@
 	StartedAt, EndedAt     time.Time
 	End                    string // "" while it runs, "lost" with its worker
 	AckedAt                time.Time
-	gang                   *gang
-	timer                  *time.Timer
+	// leaseLapsed reports whether the worker's lease lapsed between the end and its acknowledgement.
+	leaseLapsed bool
+	gang        *gang
+	timer       *time.Timer
 }
 
 // gang is a run of a gang.
@@ -108,6 +110,11 @@
 				x.endRun(r, "lapsed")
 			}
 		}
+		if x.clock() > x.leaseUntil {
+			for _, r := range x.ended {
+				r.leaseLapsed = true
+			}
+		}
 		x.w.mu.Unlock()
 	}
 }
--- a/review/world-3/world.go
+++ b/review/world-3/world.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -70,8 +72,13 @@
 	upkeeps  map[string]map[int64]bool // by machine
 	advise   func(step string, workers []string) [][2]string
 	adviceMS int64
-	version  int
-	nodes    []*Node
+	// adviceMu is held by the call that the advice service works on; it works for one machine, the owner's.
+	adviceMu      sync.Mutex
+	adviceWaiting atomic.Int64
+	version       int
+	config        map[string]any
+	configMu      sync.Mutex
+	nodes         []*Node
 }
 
 // Job is a job as the client sent it.
@@ -326,7 +333,15 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if w.adviceWaiting.Add(1) > 32 {
+		w.adviceWaiting.Add(-1)
+		rw.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	w.adviceMu.Lock()
+	w.adviceWaiting.Add(-1)
 	time.Sleep(time.Duration(50+2*len(body.Workers)) * time.Millisecond)
+	w.adviceMu.Unlock()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	allowed := [][2]string{}
@@ -362,6 +377,25 @@
 	w.logf("wave %d of %v is acknowledged", number, machines)
 }
 
+// change publishes a changed copy of the first configuration.
+func (w *World) change(apply func(config map[string]any)) {
+	w.configMu.Lock()
+	defer w.configMu.Unlock()
+	config := baseConfig()
+	for name, value := range w.config {
+		if name == "routes" || name == "tenants" {
+			copied := []map[string]any{}
+			for _, entry := range value.([]map[string]any) {
+				copied = append(copied, maps.Clone(entry))
+			}
+			value = copied
+		}
+		config[name] = value
+	}
+	apply(config)
+	w.publish(config)
+}
+
 // waveState returns the state of a wave that the system shows, "" if it shows none.
 func (w *World) waveState(number int64) string {
 	records, _, err := topic.ReadSnapshot(w.ctx, w.store, statusTopic)
