--- a/review/world-3/case_soak.go
+++ b/review/world-3/case_soak.go
@@ -24,8 +24,6 @@
 	refused   bool // by all answers
 	cancelled bool
 	hopeless  bool
-	done      bool
-	state     string
 }
 
 // playSoak sends jobs of all kinds under random disruptions and checks the rules. SEED selects the disruptions.
@@ -384,11 +382,6 @@
 			}
 		}
 	}
-	type event struct {
-		at  time.Time
-		add int64
-		r   *Run
-	}
 	w.mu.Unlock()
 	for _, s := range all {
 		if s.accepted.IsZero() {
