--- a/review/world-3/main.go
+++ b/review/world-3/main.go
@@ -4,7 +4,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -42,6 +44,13 @@
 			os.Exit(exitFailed)
 		})
 		defer limit.Stop()
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+		go func() {
+			<-stop
+			w.close()
+			os.Exit(exitFailed)
+		}()
 		broken, err := play(w, os.Getenv("TROUBLE") != "0")
 		switch {
 		case err != nil:
--- a/review/world-3/world.go
+++ b/review/world-3/world.go
@@ -79,6 +79,9 @@
 	config        map[string]any
 	configMu      sync.Mutex
 	nodes         []*Node
+
+	processMu sync.Mutex
+	closed    bool // no process is started any more; protected by processMu
 }
 
 // Job is a job as the client sent it.
@@ -165,6 +168,9 @@
 
 // close ends all processes and removes their files.
 func (w *World) close() {
+	w.processMu.Lock()
+	w.closed = true
+	w.processMu.Unlock()
 	for _, n := range w.nodes {
 		n.kill()
 	}
@@ -536,18 +542,12 @@
 		return err
 	}
 	defer log.Close()
-	n.cmd = exec.Command("target/pollenford", "node")
-	n.cmd.Env = append(os.Environ(), "POLLENFORD_SETTINGS="+n.settings)
-	n.cmd.Stdout, n.cmd.Stderr = log, log
-	if err := n.cmd.Start(); err != nil {
+	cmd := exec.Command("target/pollenford", "node")
+	cmd.Env = append(os.Environ(), "POLLENFORD_SETTINGS="+n.settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := n.startProcess(cmd); err != nil {
 		return err
 	}
-	n.ended = make(chan struct{})
-	go func(cmd *exec.Cmd, ended chan struct{}) {
-		err := cmd.Wait()
-		n.w.logf("process of %s has ended: %v", n.Name, err)
-		close(ended)
-	}(n.cmd, n.ended)
 	client := &http.Client{Timeout: 500 * time.Millisecond}
 	for range 100 {
 		if res, err := client.Get("http://" + n.Ready + "/readiness"); err == nil {
@@ -561,6 +561,29 @@
 	return fmt.Errorf("node %s is not ready", n.Name)
 }
 
+// startProcess starts a process unless the node has one or the case is over.
+func (n *Node) startProcess(cmd *exec.Cmd) error {
+	n.w.processMu.Lock()
+	defer n.w.processMu.Unlock()
+	if n.w.closed {
+		return fmt.Errorf("the case is over")
+	}
+	if n.ended != nil && n.alive() {
+		return nil
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	n.cmd, n.ended = cmd, ended
+	go func() {
+		err := cmd.Wait()
+		n.w.logf("process of %s has ended: %v", n.Name, err)
+		close(ended)
+	}()
+	return nil
+}
+
 func (n *Node) alive() bool {
 	select {
 	case <-n.ended:
@@ -578,7 +601,7 @@
 
 // kill ends the process and waits for its end.
 func (n *Node) kill() {
-	if n.cmd == nil || !n.alive() {
+	if n.ended == nil || !n.alive() {
 		return
 	}
 	_ = n.cmd.Process.Signal(syscall.SIGCONT)
