owner: take no instance for removed by an older list

Cause: the owner did not keep when the list of instances was requested, so a row that was missing counted as a removal whatever the age of the list. An instance that was added after the last list, while the service was silent or between two lists, counted as removed.

Related paths. An empty list was dropped, so that a wave whose instances were all removed was never completed. A move or maintenance that a predecessor ordered without an answer counted as ended when its instance was missing, and the worker got work while the order could take effect.

Change: a list has the time at which its first page was requested; an instance is removed only if a complete list requested after an event that it existed at lacks it. Orders without an outcome are repeated also for missing instances, and the service's answer settles them.

This works because the instances of a wave exist when its record is read, and because a removed instance is rejected at once by the service.

--- a/internal/owner/cordon_test.go
+++ b/internal/owner/cordon_test.go
@@ -59,7 +59,7 @@
 		}, true},
 		"preparation, the list names an earlier worker": {func(o *Owner, inst *instance, _ *worker) {
 			inst.info.Worker = "w0"
-			o.updateInstances([]instances.Instance{inst.info})
+			o.updateInstances([]instances.Instance{inst.info}, time.Now())
 			inst.cordon(&wave{}, now)
 		}, true},
 		"failed maintenance": {func(o *Owner, inst *instance, _ *worker) {
@@ -98,7 +98,7 @@
 			o := h.newOwner(true).Owner
 			w := o.addIdleWorker("w1")
 			inst := o.fleet.instances[w.info.Instance]
-			o.updateInstances([]instances.Instance{inst.info})
+			o.updateInstances([]instances.Instance{inst.info}, time.Now())
 			c.change(o, inst, w)
 			if got := o.cordoned(w); got != c.want {
 				t.Errorf("cordoned: %v, want %v", got, c.want)
--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -32,8 +32,7 @@
 // fleetState is the owner's view of instances and waves.
 type fleetState struct {
 	instances map[string]*instance
-	listed    bool
-	unnamed   int // listed instances whose ID could not be read
+	list      instanceList
 	waves     map[int64]*wave
 	nextPlan  time.Time
 	// poolsLogged is when the states of the pools were last logged.
@@ -53,6 +52,18 @@
 	f.instanceOfWorker = map[string]string{}
 }
 
+// instanceList describes the last complete list of instances. A row that it lacks says something only about the time at
+// which the list was requested.
+type instanceList struct {
+	requestedAt time.Time // when its first page was requested; zero before the first list
+	unnamed     int       // rows whose ID could not be read
+}
+
+// reflects reports whether the list was requested after an event.
+func (l *instanceList) reflects(event time.Time) bool {
+	return !l.requestedAt.IsZero() && !l.requestedAt.Before(event)
+}
+
 // instance is the listed state of an instance and the orders for it.
 type instance struct {
 	info         instances.Instance
@@ -105,34 +116,21 @@
 			if !w.hasSpec {
 				o.log.Info("maintenance wave received", "wave", decoded.Wave.Number, "instances", len(decoded.Wave.Instances),
 					"at_once", decoded.Wave.MaxConcurrent, "deadline_s", decoded.Wave.DeadlineS, "begun", len(w.begun))
-				w.Wave, w.hasSpec = *decoded.Wave, true
+				w.Wave, w.hasSpec, w.receivedAt = *decoded.Wave, true, time.Now()
 				o.publishWaveStatus(w) // an earlier owner may have ended before it published the state
 			}
 		}
 	}
 }
 
-// listInstances lists all instances every listInterval until the term ends.
-func (o *Owner) listInstances() {
+// followInstances lists all instances every listInterval until the term ends.
+func (o *Owner) followInstances() {
 	for {
-		var all []instances.Instance
-		page := ""
-		for {
-			ctx, stop := context.WithTimeout(o.ctx, controlTimeout)
-			list, next, err := o.cfg.Control.List(ctx, page)
-			stop()
-			if err != nil {
-				o.log.Debug("listing instances failed", "err", err)
-				all = nil
-				break
-			}
-			all = append(all, list...)
-			if page = next; page == "" {
-				break
-			}
-		}
-		if all != nil {
-			o.post(func() { o.updateInstances(all) })
+		requestedAt := time.Now()
+		if all, err := o.listInstances(); err != nil {
+			o.log.Debug("listing instances failed", "err", err)
+		} else {
+			o.post(func() { o.updateInstances(all, requestedAt) })
 		}
 		if !wait.For(o.ctx, listInterval) {
 			return
@@ -140,8 +138,26 @@
 	}
 }
 
-func (o *Owner) updateInstances(all []instances.Instance) {
-	o.fleet.listed = true
+// listInstances returns all pages of the list of instances, or an error: a part of it shows no removal.
+func (o *Owner) listInstances() (all []instances.Instance, err error) {
+	page := ""
+	for {
+		ctx, stop := context.WithTimeout(o.ctx, controlTimeout)
+		list, next, err := o.cfg.Control.List(ctx, page)
+		stop()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, list...)
+		if page = next; page == "" {
+			return all, nil
+		}
+	}
+}
+
+// updateInstances replaces what is known of the instances by a complete list.
+func (o *Owner) updateInstances(all []instances.Instance, requestedAt time.Time) {
+	o.fleet.list.requestedAt = requestedAt
 	for _, inst := range o.fleet.instances {
 		inst.listed = false
 	}
@@ -149,7 +165,7 @@
 	unnamed := 0
 	for _, info := range all {
 		if info.ID == "" {
-			if unnamed++; unnamed == 1 && o.fleet.unnamed == 0 {
+			if unnamed++; unnamed == 1 && o.fleet.list.unnamed == 0 {
 				o.log.Warn("instance skipped", "instance", "", "err", info.Err)
 			}
 			continue
@@ -166,7 +182,7 @@
 		}
 		o.fleet.instanceOfWorker[inst.info.Worker] = inst.info.ID
 	}
-	o.fleet.unnamed = unnamed
+	o.fleet.list.unnamed = unnamed
 }
 
 func (o *Owner) getOrCreateInstance(id string) *instance {
@@ -178,13 +194,17 @@
 	return inst
 }
 
-// stateUnknown reports whether the list does not tell the state of an instance. One that is missing may be listed
-// without a readable ID; otherwise it was removed.
-func (o *Owner) stateUnknown(inst *instance) bool {
-	if inst == nil || !inst.listed {
-		return o.fleet.unnamed > 0
-	}
-	return inst.info.State == instances.Unknown
+// stateUnknown reports whether the list does not tell the state of an instance. One that is missing may have been removed, or
+// added since the list was requested.
+func stateUnknown(inst *instance) bool {
+	return inst == nil || !inst.listed || inst.info.State == instances.Unknown
+}
+
+// removed reports whether an instance that existed at a time has been removed: a list that was requested later lacks it, and
+// has no row that may be the instance.
+func (o *Owner) removed(id string, existedAt time.Time) bool {
+	inst := o.fleet.instances[id]
+	return (inst == nil || !inst.listed) && o.fleet.list.unnamed == 0 && o.fleet.list.reflects(existedAt)
 }
 
 // tickFleet advances waves and balances the pools every planInterval.
@@ -198,7 +218,7 @@
 		o.relocate(now) // out of evacuated zones
 		return
 	}
-	if !o.fleet.listed {
+	if o.fleet.list.requestedAt.IsZero() {
 		return
 	}
 	o.fleet.nextPlan = now.Add(planInterval)
--- a/internal/owner/fleet_test.go
+++ b/internal/owner/fleet_test.go
@@ -35,6 +35,7 @@
 	ignoreMoves   bool          // moves get no response and have no effect
 	ignoredMoves  int
 	listings      int
+	silentLists   bool // lists get no response
 	view          func([]instances.Instance) []instances.Instance // changes what is listed, unless it is nil
 	maintained    map[maintenanceOrder]bool                       // carried out
 	downOf        map[int64]int                                   // instances down for the maintenance of a wave
@@ -112,9 +113,15 @@
 }
 
 // List implements instances.Control.
-func (c *fakeControl) List(context.Context, string) ([]instances.Instance, string, error) {
+func (c *fakeControl) List(ctx context.Context, _ string) ([]instances.Instance, string, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.silentLists {
+		c.mu.Unlock()
+		<-ctx.Done()
+		c.mu.Lock()
+		return nil, "", ctx.Err()
+	}
 	c.listings++
 	list := slices.Clone(c.list)
 	if c.view != nil {
@@ -132,6 +139,26 @@
 	c.h.await("the list is read", func() bool { return c.count(&c.listings) >= listings+2 })
 }
 
+// silenceLists keeps the service from answering requests for the list, until it is called with false.
+func (c *fakeControl) silenceLists(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silentLists = on
+}
+
+// remove removes an instance and its worker.
+func (c *fakeControl) remove(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list = slices.DeleteFunc(c.list, func(inst instances.Instance) bool {
+		if inst.ID == id && inst.Worker != "" {
+			c.h.fleet.Remove("address-of-" + inst.Worker)
+			c.h.store.Put("workers", inst.Worker, nil)
+		}
+		return inst.ID == id
+	})
+}
+
 // StartMaintenance implements instances.Control.
 func (c *fakeControl) StartMaintenance(ctx context.Context, _ instances.OwnerID, instance string, wave int64) error {
 	err := c.order("upkeep "+instance, instance, testPool, instances.InMaintenance, wave)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -348,7 +348,7 @@
 	go o.followWorkers()
 	go o.followOperator()
 	if o.cfg.Control != nil {
-		go o.listInstances()
+		go o.followInstances()
 	}
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -215,18 +215,19 @@
 }
 
 // resumeMoves repeats the moves whose outcome an earlier owner did not record. The repeated order has no effect if the
-// first one was carried out, and otherwise fences it.
+// first one was carried out, and otherwise fences it. For an instance that was removed the response says so.
 func (o *Owner) resumeMoves() {
 	for id, order := range o.fleet.inheritedMoves {
-		inst := o.fleet.instances[id]
-		if o.stateUnknown(inst) {
+		inst, removed := o.fleet.instances[id], o.removed(id, o.recoveredAt)
+		if !removed && stateUnknown(inst) {
 			continue // the order may still take effect
 		}
 		w := o.workers[order.Worker]
 		idle := w == nil || len(w.runs) == 0 // an owner of an earlier version placed work regardless of the record
-		if idle && inst != nil && inst.listed && inst.info.Pool != order.To && inst.info.Worker == order.Worker {
+		if idle && (removed || inst.info.Pool != order.To && inst.info.Worker == order.Worker) {
 			if o.fleet.callBudget.Allow() {
 				delete(o.fleet.inheritedMoves, id)
+				inst = o.getOrCreateInstance(id)
 				o.move(inst, pool.Move{Instance: id, From: inst.info.Pool, To: order.To})
 			}
 			continue
--- a/internal/owner/waves.go
+++ b/internal/owner/waves.go
@@ -32,6 +32,8 @@
 	begun     map[string]bool
 	firstSeen time.Time
 	hasSpec   bool // the embedded Wave was read from the operator's record
+	// receivedAt is when that record was read. The instances of the wave existed before.
+	receivedAt time.Time
 	// completionRecorded reports whether the store has acknowledged progress.Completed.
 	completionRecorded bool
 }
@@ -130,23 +132,28 @@
 
 // advanceWave prepares and starts maintenance on at most MaxConcurrent instances at a time.
 func (o *Owner) advanceWave(w *wave, now time.Time) {
-	inProgress, remaining := 0, 0
+	inProgress, remaining, removed := 0, 0, 0
 	var candidates []*instance
 	for _, id := range w.Instances {
 		inst := o.fleet.instances[id]
-		if o.stateUnknown(inst) {
-			// Nothing is ordered for it, and its maintenance may be in progress.
+		gone, ordered := o.removed(id, w.receivedAt), slices.Contains(w.progress.Ordered, id)
+		if gone && !ordered {
+			removed++
+			continue
+		}
+		if stateUnknown(inst) {
+			// Nothing new is ordered for it, and its maintenance may be in progress.
 			if !w.begun[id] {
 				remaining++
 			}
-			if w.begun[id] || slices.Contains(w.progress.Ordered, id) || inst != nil && inst.cordonedFor == w {
+			if w.begun[id] || ordered || inst != nil && inst.cordonedFor == w {
 				inProgress++
 			}
+			if gone {
+				o.orderMaintenance(w, o.getOrCreateInstance(id)) // the response tells what became of the order
+			}
 			continue
 		}
-		if inst == nil || !inst.listed {
-			continue // the instance was removed
-		}
 		if !w.begun[id] && o.showsMaintenanceOf(w, inst) {
 			w.markBegun(id) // by an order whose response was lost
 			inst.maintainedFor = w
@@ -173,7 +180,8 @@
 	}
 	if remaining == 0 {
 		w.progress.Completed = true
-		o.log.Info("maintenance wave completed", "wave", w.Number, "ms", now.Sub(w.firstSeen).Milliseconds())
+		o.log.Info("maintenance wave completed", "wave", w.Number, "ms", now.Sub(w.firstSeen).Milliseconds(),
+			"begun", len(w.begun), "removed", removed, "list_age_ms", now.Sub(o.fleet.list.requestedAt).Milliseconds())
 		o.recordWave(w)
 		o.afterCommit(func() {
 			w.completionRecorded = true
@@ -197,7 +205,7 @@
 	}
 }
 
-// releaseInstances uncordons the instances that were removed before their maintenance; one may be listed again.
+// releaseInstances uncordons the instances that were removed before their maintenance was ordered; one may be listed again.
 func (o *Owner) releaseInstances(w *wave) {
 	for _, id := range w.Instances {
 		if inst := o.fleet.instances[id]; inst != nil && inst.cordonedFor == w && !inst.orderPending {
@@ -209,10 +217,14 @@
 // prepareMaintenance cordons an instance, moves long-running tasks away within their availability budget and orders the
 // maintenance once the instance is drained.
 func (o *Owner) prepareMaintenance(w *wave, inst *instance, now time.Time) {
-	if inst.orderPending {
-		return
+	if !inst.orderPending && o.tryDrain(inst, now) {
+		o.orderMaintenance(w, inst)
 	}
-	if !o.tryDrain(inst, now) || !o.fleet.callBudget.Allow() {
+}
+
+// orderMaintenance orders the maintenance of an instance unless an order for it is unanswered.
+func (o *Owner) orderMaintenance(w *wave, inst *instance) {
+	if inst.orderPending || !o.fleet.callBudget.Allow() {
 		return
 	}
 	inst.orderPending = true
--- a/internal/owner/waves_test.go
+++ b/internal/owner/waves_test.go
@@ -115,7 +115,7 @@
 	ordered.progress.Ordered = []string{"i1"}
 	other := o.getOrCreateWave(2)
 	other.Wave, other.hasSpec = instances.Wave{Number: 2, Instances: []string{"i1"}, MaxConcurrent: 1}, true
-	o.fleet.listed = true
+	o.fleet.list.requestedAt = time.Now()
 	o.tickFleet(time.Now())
 	if len(other.progress.Ordered) > 0 {
 		t.Error("another wave ordered the maintenance of an instance whose order is unsettled")
