owner: order nothing for an instance by a list from before its last order

While the instance service does not answer, the row of an instance that was moved or maintained stays as it was. Once the usual time had passed the owner took it for the present state: an instance that had come from standby counted as idle there, and a wave counted it as drained, because the row has no worker or that of before. A further order then ends the work of the new worker, outside of availability budgets.

Change: an order needs a list that was requested late enough to show the last order, and draining looks at all workers that have registered on the instance, not only at the listed one.

Seen to fail before: TestOrdersAwaitAListOfTheLastOrder ("a wave takes an instance by a list from before the last order", "an instance may be moved by a list from before the last order", "the instance counts as drained with a long-running task on a worker that the list does not have yet"). The tests of waves, moves, orders and evacuation pass.

--- a/internal/owner/cordon.go
+++ b/internal/owner/cordon.go
@@ -22,10 +22,7 @@
 // expectEnd keeps the workers of an instance cordoned after an order for it was carried out, until they end or answer: an
 // order that had been carried out before ends none of them.
 func (o *Owner) expectEnd(inst *instance) {
-	for _, w := range o.workerIndex.byInstance[inst.info.ID] {
-		w.endExpectedSince = time.Now()
-	}
-	if w := o.workers[inst.info.Worker]; w != nil {
+	for _, w := range o.workersOn(inst) {
 		w.endExpectedSince = time.Now()
 	}
 }
--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -207,6 +208,21 @@
 	return (inst == nil || !inst.listed) && o.fleet.list.unnamed == 0 && o.fleet.list.reflects(existedAt)
 }
 
+// showsLastOrder reports whether the listed state of an instance includes the effect of the last order for it. The list may be
+// older, as while the service does not answer.
+func (o *Owner) showsLastOrder(inst *instance, now time.Time) bool {
+	return now.After(inst.settledAfter) && o.fleet.list.reflects(inst.settledAfter.Add(-listInterval))
+}
+
+// workersOn returns the workers on an instance: the listed one, and those that have registered since the list was requested.
+func (o *Owner) workersOn(inst *instance) []*worker {
+	list := o.workerIndex.byInstance[inst.info.ID]
+	if w := o.workers[inst.info.Worker]; w != nil && w.info.Instance != inst.info.ID {
+		list = append(slices.Clip(list), w)
+	}
+	return list
+}
+
 // tickFleet advances waves and balances the pools every planInterval.
 func (o *Owner) tickFleet(now time.Time) {
 	if now.Before(o.fleet.nextPlan) || !o.mayOrder() {
@@ -241,15 +257,13 @@
 
 // disruptionCost weighs the runs that maintenance would wait for or move; a long-running run counts as three.
 func (o *Owner) disruptionCost(inst *instance) int {
-	w := o.workers[inst.info.Worker]
-	if w == nil {
-		return 0
-	}
 	n := 0
-	for _, p := range w.runs {
-		n++
-		if p.step().LongRunning {
-			n += 2
+	for _, w := range o.workersOn(inst) {
+		for _, p := range w.runs {
+			n++
+			if p.step().LongRunning {
+				n += 2
+			}
 		}
 	}
 	return n
@@ -265,32 +279,28 @@
 
 // tryDrain evicts the long-running tasks of a cordoned instance within their budgets and reports whether it may go down now.
 func (o *Owner) tryDrain(inst *instance, now time.Time) bool {
-	worker := o.workers[inst.info.Worker]
-	if worker == nil {
-		return true
-	}
-	if len(worker.runs) == 0 {
-		return true
-	}
-	blocked := false
-	for _, p := range worker.placements() {
-		if p.step().AtMostOnce {
-			blocked = true // cannot run again: maintenance waits for its end
-			continue
-		}
-		if p.step().LongRunning {
-			blocked = true
-			if p.leaving() || o.startsHeld() || !o.budgetAllowsStop(p) {
+	idle, blocked := true, false
+	for _, worker := range o.workersOn(inst) {
+		for _, p := range worker.placements() {
+			idle = false
+			if p.step().AtMostOnce {
+				blocked = true // cannot run again: maintenance waits for its end
 				continue
 			}
-			if o.countEligibleWorkers(p.job, p.ref.Occurrence, p.ref.Step) == 0 {
-				o.blockedEvictions = append(o.blockedEvictions, p)
-				continue
+			if p.step().LongRunning {
+				blocked = true
+				if p.leaving() || o.startsHeld() || !o.budgetAllowsStop(p) {
+					continue
+				}
+				if o.countEligibleWorkers(p.job, p.ref.Occurrence, p.ref.Step) == 0 {
+					o.blockedEvictions = append(o.blockedEvictions, p)
+					continue
+				}
+				o.evict(worker, p)
 			}
-			o.evict(worker, p)
 		}
 	}
-	return !blocked && now.Sub(inst.cordonedAt) > drainTimeout
+	return idle || !blocked && now.Sub(inst.cordonedAt) > drainTimeout
 }
 
 // budgetAllowsStop reports whether the step's availability budget allows one more unavailable task.
--- a/internal/owner/instancelist_test.go
+++ b/internal/owner/instancelist_test.go
@@ -172,3 +172,46 @@
 	}
 	return nil, "", errors.New("connection reset")
 }
+
+// Guards against an order that ends work on an instance: the row of an old list has the worker of before, or the pool that the
+// instance has left, while a new worker has registered and has runs.
+func TestOrdersAwaitAListOfTheLastOrder(t *testing.T) {
+	h := newHarness(t)
+	h.control = newControl(h)
+	o := h.newOwner(true)
+	w := o.addIdleWorker("w1")
+	inst := o.fleet.instances[w.info.Instance]
+	row := inst.info
+	row.Worker = "w0" // that of before
+	settled := time.Now()
+	o.updateInstances([]instances.Instance{row}, settled.Add(-time.Minute))
+	inst.settledAfter = settled
+	now := settled.Add(time.Second)
+	if o.mayTakeDown(inst, now) {
+		t.Error("a wave takes an instance by a list from before the last order")
+	}
+	if o.isMovable(inst, true, now) {
+		t.Error("an instance may be moved by a list from before the last order")
+	}
+	o.updateInstances([]instances.Instance{row}, settled)
+	if !o.mayTakeDown(inst, now) || !o.isMovable(inst, true, now) {
+		t.Error("an instance may be neither maintained nor moved after a list that shows the last order")
+	}
+	job := longRunningJob("a", 1, 1)
+	j := o.newJob(job)
+	o.active[job.ID] = j
+	o.computePlan(j)
+	j.progress.CreateUpTo(job, time.Now().UnixMilli(), 1)
+	o.place()
+	if len(w.runs) != 1 {
+		t.Fatal("the task was not placed")
+	}
+	inst.cordon(o.getOrCreateWave(1), now)
+	if o.tryDrain(inst, now.Add(2*drainTimeout)) {
+		t.Error("the instance counts as drained with a long-running task on a worker that the list does not have yet")
+	}
+	inst.uncordon()
+	if o.isMovable(inst, true, now) {
+		t.Error("an instance may be moved with a run on a worker that the list does not have yet")
+	}
+}
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -175,14 +175,14 @@
 // standby pool have no workers.
 func (o *Owner) isMovable(inst *instance, standby bool, now time.Time) bool {
 	if !inst.listed || inst.orderPending || inst.info.State != instances.Up ||
-		now.Before(inst.settledAfter) || !inst.cordonedAt.IsZero() {
+		!o.showsLastOrder(inst, now) || !inst.cordonedAt.IsZero() {
 		return false
 	}
-	w := o.workers[inst.info.Worker]
-	if standby {
-		return w == nil || len(w.runs) == 0
+	if slices.ContainsFunc(o.workersOn(inst), func(w *worker) bool { return len(w.runs) > 0 }) {
+		return false
 	}
-	return w != nil && o.acceptsWork(w, now) && len(w.runs) == 0 &&
+	w := o.workers[inst.info.Worker]
+	return standby || w != nil && o.acceptsWork(w, now) &&
 		w.info.Pool == inst.info.Pool && w.info.Instance == inst.info.ID
 }
 
--- a/internal/owner/waves.go
+++ b/internal/owner/waves.go
@@ -126,7 +126,7 @@
 // mayTakeDown reports whether a wave may order the maintenance of an instance.
 func (o *Owner) mayTakeDown(inst *instance, now time.Time) bool {
 	_, moveUnsettled := o.fleet.inheritedMoves[inst.info.ID]
-	return inst.info.State == instances.Up && now.After(inst.settledAfter) &&
+	return inst.info.State == instances.Up && o.showsLastOrder(inst, now) &&
 		inst.cordonedFor == nil && inst.movingTo == "" && !moveUnsettled
 }
 
