owner: bound calls for advice and give organisations turns

Cause: a placement round made a call for each waiting step, 28,000 in all, each in a goroutine, although the service works on one at a time. The answers were kept for each step until its job ended.

Change: advice.Queue holds the requests of a round, a few for each organisation, and gives the organisations turns; steps that could start go before those that wait for room. Two calls are in flight. A call that stalls no longer holds up others, and a failed one pauses all. A step asks for workers with room that may be allowed, also while another worker has a ticket. Answers are kept while their step has waiting tasks.

This works because what waits for a call, is in flight or is kept no longer depends on the backlog, and because a request waits for one call of each other organisation at most.

Seen to fail before: TestAdviceBacklogDelaysNoOtherOrganisation ("not within 20s: the job is completed"), TestTicketsAreKeptOnlyWhileAStepWaits ("the answers for 502 steps are kept"), TestSilentAdviceCallHoldsUpNoOther ("completed after 5.435s"), TestAdviceIsRequestedForWorkersWithRoom ("after 2.8s").

--- a/internal/owner/fleet_test.go
+++ b/internal/owner/fleet_test.go
@@ -35,7 +35,7 @@
 	ignoreMoves   bool          // moves get no response and have no effect
 	ignoredMoves  int
 	listings      int
-	silentLists   bool // lists get no response
+	silentLists   bool                                            // lists get no response
 	view          func([]instances.Instance) []instances.Instance // changes what is listed, unless it is nil
 	maintained    map[maintenanceOrder]bool                       // carried out
 	downOf        map[int64]int                                   // instances down for the maintenance of a wave
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -25,6 +25,10 @@
 	acceptedBytes, acceptedHighest, begunBytes, startsInFlight tally.Gauge
 	// Evacuated zones, and the runs still there.
 	zonesEvacuated, evacuatedRuns, evacuatedLongRunning tally.Gauge
+	// Calls for advice, requests that wait for one, and steps whose answers are kept.
+	adviceCalls, adviceFailed   tally.Counter
+	adviceLatency               tally.Histogram
+	adviceWaiting, advisedSteps tally.Gauge
 	// Progress of recoveries; recoveryRecords is that of the last one.
 	recoveryPages, recoveryBytes, recoveriesYielded tally.Counter
 	recoveryRecords                                 tally.Gauge
@@ -55,6 +59,9 @@
 		evacuatedLongRunning: scope.Gauge("evacuated_zone_long_running"),
 		recoveryPages:        scope.Counter("recovery_pages"), recoveryBytes: scope.Counter("recovery_bytes"),
 		recoveriesYielded: scope.Counter("recoveries_yielded"), recoveryRecords: scope.Gauge("recovery_records"),
+		adviceCalls: scope.Counter("advice_calls"), adviceFailed: scope.Counter("advice_calls_failed"),
+		adviceLatency: scope.Histogram("advice_latency", durationBuckets),
+		adviceWaiting: scope.Gauge("advice_requests_waiting"), advisedSteps: scope.Gauge("advised_steps"),
 		ended: map[string]tally.Counter{},
 	}
 	for _, state := range []string{"completed", "failed", "cancelled"} {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -141,7 +141,7 @@
 	// blockedEvictions lists the runs of long-running tasks to evict that no other worker can take now. Placement rounds
 	// hold back room for them.
 	blockedEvictions []*placement
-	tickets          map[stepKey]*tickets
+	advice           adviceState
 	evacuations      *Evacuations // may be used outside of the event loop
 	startGuard       startGuard
 	recoveryLimits   recoveryLimits
@@ -190,7 +190,7 @@
 		cfg: cfg, term: term, log: cfg.Log.With("fence", term.Fence), events: make(chan func(), eventQueueSize),
 		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{}, losses: map[string]*lossRecord{},
 		usage: map[string]catalog.Resources{}, recoveredAt: time.Now(), loggedOffsets: map[string]int64{},
-		metrics: newMetrics(cfg.Scope), tickets: map[stepKey]*tickets{}, demands: map[string]*pool.Demand{},
+		metrics: newMetrics(cfg.Scope), demands: map[string]*pool.Demand{},
 		recoveryLimits: defaultRecoveryLimits, evacuations: cfg.Evacuations,
 	}
 	if o.evacuations == nil {
@@ -198,6 +198,7 @@
 	}
 	o.ctx, o.cancel = context.WithCancelCause(ctx)
 	o.fleet.init()
+	o.advice.init()
 	o.earlyCancels.init()
 	o.fleet.callBudget.PerSecond = cfg.Timing.ControlRate * newOrderShare
 	o.updateLimits()
@@ -434,7 +435,7 @@
 	}
 	o.expireJobs(now)
 	o.expireEarlyCancels(now)
-	o.forgetTickets()
+	o.forgetTickets(now)
 	o.updateGauges()
 	o.checkEvacuations(now)
 	o.tickFleet(now)
@@ -478,6 +479,8 @@
 	o.metrics.begunBytes.Update(float64(o.accounts.begun.Used()))
 	o.metrics.startsInFlight.Update(float64(o.accounts.starts))
 	o.metrics.active.Update(float64(len(o.active)))
+	o.metrics.adviceWaiting.Update(float64(o.advice.queue.Len()))
+	o.metrics.advisedSteps.Update(float64(len(o.advice.steps)))
 }
 
 // statusRetention returns how long ended jobs, and cancels that came before their jobs, are kept.
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -112,6 +112,7 @@
 	now := time.Now()
 	o.metrics.placementRounds.Inc(1)
 	o.pendingCPU = map[string]int64{}
+	o.advice.queue.Reset()
 	o.endOverloads(now)
 	list := o.readySteps()
 	if len(list) == 0 {
@@ -147,6 +148,7 @@
 		o.pendingCPU[r.queue.Pool] += o.placeStep(r, nil, now)
 	}
 	o.preempt(list, now)
+	o.callAdvice(now)
 }
 
 // assignPoolViews sets the queue, pool view and organisation of each step, and the fair shares of full pools. It returns
@@ -310,7 +312,11 @@
 func (o *Owner) placeStep(r *readyStep, shares map[string]int64, now time.Time) int64 {
 	step, view, org := &r.job.spec.Steps[r.step], r.view, r.org
 	need := step.ReservedResources()
+	key := stepKey{r.job, r.occurrence.Number, r.step}
 	if view.doesNotFit != nil && view.doesNotFit.FitsIn(need) {
+		if r.queue.RequiresAdvice {
+			o.requestAhead(r, key, now)
+		}
 		return need.CPU * o.countWithinLimit(r)
 	}
 	if step.RequiredLabel != "" && !view.carries(step.RequiredLabel) {
@@ -319,10 +325,12 @@
 	if !o.mayStart(r, need) {
 		return 0
 	}
-	key := stepKey{r.job, r.occurrence.Number, r.step}
 	var advised *tickets
 	if r.queue.RequiresAdvice {
-		advised = o.ticketsFor(key, view, now)
+		if advised = o.advice.steps[key]; !advised.hasValid(view.workers, now) {
+			o.requestFirst(r, key, now)
+			return need.CPU * o.countWithinLimit(r)
+		}
 	}
 	view.prepare(step, key, advised, now)
 	name := r.job.spec.Organisation
@@ -367,6 +375,9 @@
 		view.used[name] += need.CPU
 		workerIndexes, taskIndexes = append(workerIndexes, best), append(taskIndexes, index)
 	}
+	if advised != nil && len(workerIndexes) < tasks.Waiting() {
+		o.requestAdvice(r, key, now) // other workers may be allowed as well
+	}
 	if step.Gang && len(workerIndexes) < step.Count {
 		view.doesNotFit = doesNotFit // what the gang took is free again
 		for _, i := range workerIndexes {
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -328,13 +328,17 @@
 		if !o.usable(w, now) || !condition(w) {
 			continue
 		}
-		candidate := schedule.Candidate{
-			Free: w.info.Capacity.Sub(w.used.resources), StepTasks: w.used.tasksPerStep[key],
-			HasLabel: w.info.HasLabel(spec.RequiredLabel),
-		}
-		if candidate.Fits(spec) {
+		if candidate := w.candidate(key, spec); candidate.Fits(spec) {
 			n++
 		}
 	}
 	return n
 }
+
+// candidate returns the worker as a candidate for a task of a step, without what only orders the candidates.
+func (w *worker) candidate(key stepKey, step *workload.Step) schedule.Candidate {
+	return schedule.Candidate{
+		Free: w.info.Capacity.Sub(w.used.resources), StepTasks: w.used.tasksPerStep[key],
+		HasLabel: w.info.HasLabel(step.RequiredLabel),
+	}
+}
--- a/internal/owner/runs.go
+++ b/internal/owner/runs.go
@@ -207,7 +207,7 @@
 		o.log.Info("start refused", "task", p.taskName, "run", p.run, "worker", w.info.ID, "reason", err)
 		w.backoffUntil = time.Now().Add(refusalBackoff)
 		if errors.Is(err, workers.ErrInvalidTicket) {
-			delete(o.tickets, p.stepKey()) // the next placement requests new tickets
+			o.advice.steps[p.stepKey()].rejected(w.info.ID)
 		}
 		if errors.Is(err, workers.ErrUnhealthy) {
 			w.health.recordFailure(time.Now())
