owner: keep the cost of a round linear in what waits

Cause: for each waiting occurrence a round walked all occurrences of the job, to find out what further placements may add to its record, and for each waiting step all steps, to find out whether the occurrence had begun. A round took about a second, although nothing could be placed.

Change: a round leaves out jobs of organisations at their limit, lists a bounded number of a job's occurrences that have not begun and counts the others, and walks a job's progress once. An occurrence knows whether it has begun. The pools' plan walks one waiting occurrence of a job.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -60,6 +60,11 @@
 	return Resources{r.CPU * n, r.MemoryMB * n, r.GPU * n}
 }
 
+// Min returns the smaller of each of r and s.
+func (r Resources) Min(s Resources) Resources {
+	return Resources{min(r.CPU, s.CPU), min(r.MemoryMB, s.MemoryMB), min(r.GPU, s.GPU)}
+}
+
 // FitsIn reports whether r fits into the available resources.
 func (r Resources) FitsIn(available Resources) bool {
 	return r.CPU <= available.CPU && r.MemoryMB <= available.MemoryMB && r.GPU <= available.GPU
--- a/internal/owner/advise.go
+++ b/internal/owner/advise.go
@@ -151,8 +151,7 @@
 		o.advice.queue.Offer(organisation, advice.Immediate, key)
 	case !room:
 		if step.RequiredLabel == "" && step.MaxPerWorker == 0 && !step.Gang && !r.view.startsPaced() {
-			need := step.ReservedResources()
-			r.view.doesNotFit = &need
+			r.view.doesNotFit = smallest(step.ReservedResources())
 		}
 		o.requestAhead(r, key, now)
 	}
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -21,7 +22,9 @@
 	demand schedule.Demand
 	// criticalPath holds, by step, the estimated duration of the longest chain of steps that starts with it.
 	criticalPath []time.Duration
-	overload     jobOverload
+	// least bounds the resources of the job's tasks from below.
+	least    catalog.Resources
+	overload jobOverload
 }
 
 // computePlan sets the plan of a job from its specification and its queue's configuration.
@@ -35,6 +38,10 @@
 	}
 	d.Objective = schedule.NewObjective(time.UnixMilli(j.spec.ReceivedMS), longest, slack, target)
 	j.plan.demand = d
+	j.plan.least = j.spec.Steps[0].Resources
+	for i := range j.spec.Steps {
+		j.plan.least = j.plan.least.Min(j.spec.Steps[i].Resources)
+	}
 	o.recordWork(j)
 }
 
@@ -95,7 +102,9 @@
 	job        *job
 	occurrence *workload.Occurrence
 	step       int
-	demand     schedule.Demand
+	// unlisted counts the later occurrences of the job in which the same step is ready. All their tasks wait.
+	unlisted int64
+	demand   schedule.Demand
 	// The fields below are set only if the queue is configured. org is nil for jobs without a configured organisation, as
 	// on a queue that allows anonymous jobs.
 	queue *catalog.Queue
@@ -114,6 +123,7 @@
 	o.pendingCPU = map[string]int64{}
 	o.advice.queue.Reset()
 	o.endOverloads(now)
+	clear(o.rounds.room)
 	list := o.readySteps()
 	if len(list) == 0 {
 		return
@@ -122,12 +132,7 @@
 	if o.cfg.Overload != (OverloadPolicy{}) {
 		o.planOverload(list, views, now)
 	}
-	slices.SortFunc(list, func(a, b readyStep) int {
-		if schedule.Before(&a.demand, &b.demand, now) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b readyStep) int { return compareReady(&a, &b, now) })
 	// Steps that can still meet their deadline are placed in order. Late steps in a full pool are first placed within
 	// their organisation's fair share; unused shares then go to the other organisations.
 	var late []*readyStep
@@ -151,6 +156,17 @@
 	o.callAdvice(now)
 }
 
+// compareReady orders ready steps: the occurrences of a job by their numbers.
+func compareReady(a, b *readyStep, now time.Time) int {
+	if a.job != b.job || a.demand.Remaining != b.demand.Remaining || a.demand.Reserve != b.demand.Reserve {
+		if schedule.Before(&a.demand, &b.demand, now) {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.occurrence.Number, b.occurrence.Number), cmp.Compare(a.step, b.step))
+}
+
 // assignPoolViews sets the queue, pool view and organisation of each step, and the fair shares of full pools. It returns
 // the views by pool.
 func (o *Owner) assignPoolViews(list []readyStep, now time.Time) map[string]*poolView {
@@ -168,10 +184,15 @@
 			views[q.Pool] = view
 		}
 		r.queue, r.view, r.org = q, view, c.Organisations[r.job.spec.Organisation]
-		count, need := o.countWithinLimit(r), r.job.spec.Steps[r.step].ReservedResources()
+		count, need := o.waitingWithinLimit(r), r.job.spec.Steps[r.step].ReservedResources()
 		view.requested[r.job.spec.Organisation] += count * need.CPU
 		view.ready = view.ready.Add(need.Times(count))
 	}
+	for _, j := range o.rounds.atLimit {
+		if q := o.queueOf(j.spec); q != nil && views[q.Pool] != nil {
+			views[q.Pool].requested[j.spec.Organisation] += 0 // it has waiting tasks
+		}
+	}
 	for _, view := range views {
 		view.computeShares(c, o.cfg.Overload.Defer)
 	}
@@ -185,24 +206,75 @@
 	return views
 }
 
+// maxListedOccurrences bounds the occurrences of a job that a placement round looks at. A schedule that is behind has thousands
+// that wait, and their order is that of their numbers.
+const maxListedOccurrences = 256
+
+// readySteps returns the ready steps of the active jobs, without those of organisations that have reached their limit.
 func (o *Owner) readySteps() []readyStep {
 	list := o.rounds.ready[:0]
+	o.rounds.atLimit = o.rounds.atLimit[:0]
+	c := o.cfg.Catalog()
 	for _, j := range o.active {
-		for _, occurrence := range j.progress.Current {
-			for step := range j.spec.Steps {
-				if occurrence.Tasks[step].Waiting() == 0 || !occurrence.Ready(j.spec, step) {
-					continue
-				}
-				demand := j.plan.demand
-				demand.Remaining = j.plan.criticalPath[step]
-				list = append(list, readyStep{job: j, occurrence: occurrence, step: step, demand: demand})
+		if org := c.Organisations[j.spec.Organisation]; org != nil && !org.LimitAllows(o.usage[org.Name].Add(j.plan.least)) {
+			if j.hasReadyStep() {
+				o.rounds.atLimit = append(o.rounds.atLimit, j)
+			}
+			if q := o.queueOf(j.spec); q == nil || !q.RequiresAdvice {
+				continue
 			}
 		}
+		list = appendReady(list, j, maxListedOccurrences)
 	}
 	o.rounds.ready = list
 	return list
 }
 
+// appendReady appends the ready steps with waiting tasks of a job: those of its occurrences that have begun, and of up to limit
+// others. The rest of these is counted with the last one.
+func appendReady(list []readyStep, j *job, limit int) []readyStep {
+	waiting, last := 0, 0
+	for _, occurrence := range j.progress.Current {
+		if !occurrence.Begun() {
+			if waiting++; waiting > limit {
+				continue
+			}
+			last = len(list)
+		}
+		for step := range j.spec.Steps {
+			if !j.isReady(occurrence, step) {
+				continue
+			}
+			demand := j.plan.demand
+			demand.Remaining = j.plan.criticalPath[step]
+			list = append(list, readyStep{job: j, occurrence: occurrence, step: step, demand: demand})
+		}
+	}
+	if waiting > limit {
+		for i, occurrence := last, list[last].occurrence; i < len(list) && list[i].occurrence == occurrence; i++ {
+			list[i].unlisted = int64(waiting - limit)
+		}
+	}
+	return list
+}
+
+// isReady reports whether a step has waiting tasks that may start.
+func (j *job) isReady(occurrence *workload.Occurrence, step int) bool {
+	return occurrence.Tasks[step].Waiting() > 0 && occurrence.Ready(j.spec, step)
+}
+
+// hasReadyStep reports whether a task of the job may start.
+func (j *job) hasReadyStep() bool {
+	for _, occurrence := range j.progress.Current {
+		for step := range j.spec.Steps {
+			if j.isReady(occurrence, step) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // poolView is the available capacity of a pool during one placement round.
 type poolView struct {
 	workers    []*worker
@@ -276,8 +348,10 @@
 // roundBuffers holds the memory of the last placement round for the next one: a round of a large fleet needs about a
 // megabyte, a hundred times a second.
 type roundBuffers struct {
-	ready []readyStep
-	views map[string]*poolView // by pool
+	ready   []readyStep
+	atLimit []*job               // of organisations that have reached their limit, with waiting tasks
+	views   map[string]*poolView // by pool
+	room    map[*job]int         // what further placements may add to the record of a job's progress
 }
 
 // view returns an empty view of a pool.
@@ -317,10 +391,16 @@
 		if r.queue.RequiresAdvice {
 			o.requestAhead(r, key, now)
 		}
-		return need.CPU * o.countWithinLimit(r)
+		return need.CPU * o.waitingWithinLimit(r)
 	}
 	if step.RequiredLabel != "" && !view.carries(step.RequiredLabel) {
-		return need.CPU * o.countWithinLimit(r)
+		return need.CPU * o.waitingWithinLimit(r)
+	}
+	if org != nil && !org.LimitAllows(o.usage[org.Name].Add(step.Resources)) {
+		if r.queue.RequiresAdvice {
+			o.requestAhead(r, key, now)
+		}
+		return 0
 	}
 	if !o.mayStart(r, need) {
 		return 0
@@ -329,14 +409,14 @@
 	if r.queue.RequiresAdvice {
 		if advised = o.advice.steps[key]; !advised.hasValid(view.workers, now) {
 			o.requestFirst(r, key, now)
-			return need.CPU * o.countWithinLimit(r)
+			return need.CPU * o.waitingWithinLimit(r)
 		}
 	}
 	view.prepare(step, key, advised, now)
 	name := r.job.spec.Organisation
 	usage := o.usage[name]
 	// Tasks that wait for room in the record or in the budgets, or for answers to other starts, need no further instance.
-	room, held := o.roomForPlacements(r.job), false
+	room, held := o.roundRoom(r.job), false
 	begin := r.beginBytes()
 	doesNotFit := view.doesNotFit
 	var workerIndexes []int
@@ -354,13 +434,14 @@
 		if best < 0 {
 			constrained := step.RequiredLabel != "" || step.MaxPerWorker > 0 || advised != nil
 			if held = view.startsPaced(); held && !constrained && !step.Gang {
-				view.paced = &need
+				view.paced = smallest(need)
 			} else if !held && !constrained {
-				view.doesNotFit = &need
+				view.doesNotFit = smallest(need)
 			}
 			break
 		}
-		if room -= workload.PlacementBytes(view.workers[best].info.ID); room < 0 {
+		size := workload.PlacementBytes(view.workers[best].info.ID)
+		if room < size {
 			held = true // the other tasks wait until some of these have ended
 			break
 		}
@@ -369,6 +450,7 @@
 			held = true
 			break
 		}
+		room -= size
 		view.candidates[best].Free = view.candidates[best].Free.Sub(need)
 		view.candidates[best].StepTasks++
 		view.candidates[best].Starting++
@@ -385,11 +467,12 @@
 			view.candidates[i].Starting--
 			view.used[name] -= need.CPU
 		}
-		return need.CPU * o.countWithinLimit(r)
+		return need.CPU * o.waitingWithinLimit(r)
 	}
 	if step.LongRunning {
 		schedule.Reserve(step, view.candidates, int(o.countWithinLimit(r))-len(taskIndexes))
 	}
+	o.rounds.room[r.job] = room
 	run := 0
 	for i, index := range taskIndexes {
 		ref := workload.TaskRef{Occurrence: r.occurrence.Number, Step: r.step, Index: index}
@@ -413,9 +496,12 @@
 	if held {
 		return 0
 	}
-	return need.CPU * o.countWithinLimit(r)
+	return need.CPU * o.waitingWithinLimit(r)
 }
 
+// smallest returns a copy of a request. Only the few that are kept take memory of their own.
+func smallest(need catalog.Resources) *catalog.Resources { return &need }
+
 // mayStart reports whether a step may start a task in this round. Those that wait for answers to other starts, or for memory,
 // are not tried, since a crowd may have thousands of them.
 func (o *Owner) mayStart(r *readyStep, need catalog.Resources) bool {
@@ -463,10 +549,36 @@
 
 // countWithinLimit returns how many waiting tasks of a step could start now within the organisation's limit.
 func (o *Owner) countWithinLimit(r *readyStep) int64 {
-	waiting := r.occurrence.Tasks[r.step].Waiting()
+	return o.withinLimit(r, r.occurrence.Tasks[r.step].Waiting())
+}
+
+// waitingWithinLimit is countWithinLimit with the occurrences that the round does not look at.
+func (o *Owner) waitingWithinLimit(r *readyStep) int64 {
+	n := o.countWithinLimit(r)
+	if r.unlisted > 0 {
+		n += r.unlisted * o.withinLimit(r, r.job.spec.Steps[r.step].Count)
+	}
+	return n
+}
+
+// withinLimit returns how many of a number of tasks of a step could start now within the organisation's limit.
+func (o *Owner) withinLimit(r *readyStep, tasks int) int64 {
 	if r.org == nil {
-		return int64(waiting)
+		return int64(tasks)
 	}
 	usage, need := o.usage[r.job.spec.Organisation], r.job.spec.Steps[r.step].Resources
-	return int64(sort.Search(waiting, func(n int) bool { return !r.org.LimitAllows(usage.Add(need.Times(int64(n + 1)))) }))
+	return int64(sort.Search(tasks, func(n int) bool { return !r.org.LimitAllows(usage.Add(need.Times(int64(n + 1)))) }))
+}
+
+// roundRoom returns roomForPlacements after the placements of this round. It walks the progress of a job once a round.
+func (o *Owner) roundRoom(j *job) int {
+	room, ok := o.rounds.room[j]
+	if !ok {
+		room = o.roomForPlacements(j)
+		if o.rounds.room == nil {
+			o.rounds.room = map[*job]int{}
+		}
+		o.rounds.room[j] = room
+	}
+	return room
 }
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -85,8 +85,17 @@
 		if q == nil || j.spec.IsLongRunning() {
 			continue
 		}
+		waiting := int64(-1) // of an occurrence that has not begun; the others need the same
 		for _, occurrence := range j.progress.Current {
-			expected[q.Pool] += pool.ExpectedCPU(j.activeSteps(occurrence, now), o.cfg.Timing.MoveTime)
+			if occurrence.Begun() || waiting < 0 {
+				cpu := pool.ExpectedCPU(j.activeSteps(occurrence, now), o.cfg.Timing.MoveTime)
+				expected[q.Pool] += cpu
+				if !occurrence.Begun() {
+					waiting = cpu
+				}
+				continue
+			}
+			expected[q.Pool] += waiting
 		}
 	}
 	return expected
--- a/internal/workload/memory.go
+++ b/internal/workload/memory.go
@@ -29,16 +29,29 @@
 // BegunBytes bounds the memory of the tasks of an occurrence once one of them has had a run.
 func (j *Job) BegunBytes() int64 { return int64(j.taskCount() * taskMemory) }
 
-// Begun reports whether a task of the occurrence has had a run.
+// Begun reports whether a task of the occurrence has had a run. A job may have thousands of steps, and is asked for each of them.
 func (o *Occurrence) Begun() bool {
-	for i := range o.Tasks {
-		if o.Tasks[i].held != nil {
-			return true
+	if o.begun == unknown {
+		o.begun = no
+		for i := range o.Tasks {
+			if o.Tasks[i].held != nil {
+				o.begun = yes
+				break
+			}
 		}
 	}
-	return false
+	return o.begun == yes
 }
 
+// answer is a cached answer to a question.
+type answer uint8
+
+const (
+	unknown answer = iota
+	no
+	yes
+)
+
 // BegunOccurrences returns the number of current occurrences of which a task has had a run.
 func (p *Progress) BegunOccurrences() int {
 	n := 0
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -70,6 +70,7 @@
 	// Evictions lists the placed runs that the system has decided to stop. They are recorded before the stop is requested,
 	// so that a successor does not count such a run as available while the stop may still take effect.
 	Evictions []Eviction `cbor:"3,keyasint,omitempty"`
+	begun     answer     // see Begun
 }
 
 // Progress is the recorded state of a job, apart from the job itself.
@@ -207,6 +208,12 @@
 	}
 }
 
+// changeable returns the list with a task of a current occurrence, which begins with the change.
+func (p *Progress) changeable(r TaskRef) *TaskList {
+	p.Occurrence(r.Occurrence).begun = yes
+	return p.tasks(r)
+}
+
 // tasks returns the list with a task of a current occurrence, or nil.
 func (p *Progress) tasks(r TaskRef) *TaskList {
 	o := p.Occurrence(r.Occurrence)
@@ -245,7 +252,7 @@
 	if p.State != Active || !ok || t.Phase != Waiting || run <= t.Run {
 		return errors.NotValidf("placing run %d of task %v", run, r)
 	}
-	p.tasks(r).place(r.Index, run, worker, incarnation)
+	p.changeable(r).place(r.Index, run, worker, incarnation)
 	if !p.Begun {
 		p.Begun, p.StartUnconfirmed = true, true
 	}
@@ -258,6 +265,7 @@
 	if tasks == nil || checkpoint == "" {
 		return
 	}
+	tasks = p.changeable(r)
 	if !j.Steps[r.Step].Gang {
 		tasks.hold(r.Index).Checkpoint = checkpoint
 		return
@@ -289,7 +297,7 @@
 	if p.State != Active || !ok || t.Phase != Waiting || t.Run != run || p.NextRun(j, r) != run+1 {
 		return false
 	}
-	p.tasks(r).place(r.Index, run, worker, incarnation)
+	p.changeable(r).place(r.Index, run, worker, incarnation)
 	return true
 }
 
