--- a/internal/owner/advise.go
+++ b/internal/owner/advise.go
@@ -215,7 +215,7 @@
 	a, t := &o.advice, o.advice.steps[key]
 	occurrence := key.job.progress.Occurrence(key.occurrence)
 	if o.active[key.job.spec.ID] != key.job || occurrence == nil || occurrence.Tasks[key.step].Waiting() == 0 ||
-		t == nil && len(a.steps) >= maxAdvisedSteps {
+		a.isCalling(t, now) || t == nil && len(a.steps) >= maxAdvisedSteps {
 		return false
 	}
 	named := o.workersToAsk(key, t, now)
--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -283,26 +283,29 @@
 	for _, worker := range o.workersOn(inst) {
 		for _, p := range worker.placements() {
 			idle = false
-			if p.step().AtMostOnce {
+			switch {
+			case p.step().AtMostOnce:
 				blocked = true // cannot run again: maintenance waits for its end
-				continue
-			}
-			if p.step().LongRunning {
+			case p.step().LongRunning:
 				blocked = true
-				if p.leaving() || o.startsHeld() || !o.budgetAllowsStop(p) {
-					continue
-				}
-				if o.countEligibleWorkers(p.job, p.ref.Occurrence, p.ref.Step) == 0 {
-					o.blockedEvictions = append(o.blockedEvictions, p)
-					continue
-				}
-				o.evict(worker, p)
+				o.tryEvict(worker, p)
 			}
 		}
 	}
 	return idle || !blocked && now.Sub(inst.cordonedAt) > drainTimeout
 }
 
+// tryEvict evicts a long-running task if its budget allows it and another worker can take it.
+func (o *Owner) tryEvict(w *worker, p *placement) {
+	switch {
+	case p.leaving() || o.startsHeld() || !o.budgetAllowsStop(p):
+	case o.countEligibleWorkers(p.job, p.ref.Occurrence, p.ref.Step) == 0:
+		o.blockedEvictions = append(o.blockedEvictions, p)
+	default:
+		o.evict(w, p)
+	}
+}
+
 // budgetAllowsStop reports whether the step's availability budget allows one more unavailable task.
 func (o *Owner) budgetAllowsStop(p *placement) bool {
 	budget := p.step().MaxUnavailable
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -1,9 +1,7 @@
 package owner
 
 import (
-	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/pollenford/pollenford/internal/catalog"
@@ -97,46 +95,6 @@
 	return o.terms[q]
 }
 
-// readyStep is a step whose predecessors are done and that has waiting tasks.
-type readyStep struct {
-	job        *job
-	occurrence *workload.Occurrence
-	step       int
-	// unlisted counts the later occurrences of the job in which the same step is ready. All their tasks wait.
-	unlisted int64
-	demand   schedule.Demand
-	// The fields below are set only if the queue is configured. org is nil for jobs without a configured organisation, as
-	// on a queue that allows anonymous jobs.
-	queue *catalog.Queue
-	view  *poolView
-	org   *catalog.Organisation
-}
-
-// longRound is the duration from which a placement round gives way to other events.
-const longRound = tickInterval
-
-// mayPlace reports whether a placement round may begin now. Rounds that take long, as beside a large backlog, use at most half of
-// the event loop's time. Calls that wait for a confirmation go first: a round may take as long as a pause, so that they would
-// have to be confirmed again after each.
-func (o *Owner) mayPlace(now time.Time) bool {
-	return !now.Before(o.rounds.next) && !(o.unconfirmed() && o.commit.holdsCalls())
-}
-
-// placeRound runs a placement round and measures it.
-func (o *Owner) placeRound(now time.Time) {
-	o.place()
-	took := time.Since(now)
-	o.metrics.placementRound.RecordDuration(took)
-	if took < longRound {
-		return
-	}
-	o.rounds.next = now.Add(2 * took)
-	if now.Sub(o.rounds.logged) > time.Second {
-		o.rounds.logged = now
-		o.log.Warn("placement round took long", "ms", took.Milliseconds(), "steps", len(o.rounds.ready), "jobs", len(o.active))
-	}
-}
-
 // place runs a placement round: it assigns waiting tasks to workers.
 func (o *Owner) place() {
 	if o.appendStalled() || !o.leading() || o.startsHeld() {
@@ -181,17 +139,6 @@
 	o.callAdvice(now)
 }
 
-// compareReady orders ready steps: the occurrences of a job by their numbers.
-func compareReady(a, b *readyStep, now time.Time) int {
-	if a.job != b.job || a.demand.Remaining != b.demand.Remaining || a.demand.Reserve != b.demand.Reserve {
-		if schedule.Before(&a.demand, &b.demand, now) {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Or(cmp.Compare(a.occurrence.Number, b.occurrence.Number), cmp.Compare(a.step, b.step))
-}
-
 // assignPoolViews sets the queue, pool view and organisation of each step, and the fair shares of full pools. It returns
 // the views by pool.
 func (o *Owner) assignPoolViews(list []readyStep, now time.Time) map[string]*poolView {
@@ -231,75 +178,6 @@
 	return views
 }
 
-// maxListedOccurrences bounds the occurrences of a job that a placement round looks at. A schedule that is behind has thousands
-// that wait, and their order is that of their numbers.
-const maxListedOccurrences = 256
-
-// readySteps returns the ready steps of the active jobs, without those of organisations that have reached their limit.
-func (o *Owner) readySteps() []readyStep {
-	list := o.rounds.ready[:0]
-	o.rounds.atLimit = o.rounds.atLimit[:0]
-	c := o.cfg.Catalog()
-	for _, j := range o.active {
-		if org := c.Organisations[j.spec.Organisation]; org != nil && !org.LimitAllows(o.usage[org.Name].Add(j.plan.least)) {
-			if j.hasReadyStep() {
-				o.rounds.atLimit = append(o.rounds.atLimit, j)
-			}
-			if q := o.queueOf(j.spec); q == nil || !q.RequiresAdvice {
-				continue
-			}
-		}
-		list = appendReady(list, j, maxListedOccurrences)
-	}
-	o.rounds.ready = list
-	return list
-}
-
-// appendReady appends the ready steps with waiting tasks of a job: those of its occurrences that have begun, and of up to limit
-// others. The rest of these is counted with the last one.
-func appendReady(list []readyStep, j *job, limit int) []readyStep {
-	waiting, last := 0, 0
-	for _, occurrence := range j.progress.Current {
-		if !occurrence.Begun() {
-			if waiting++; waiting > limit {
-				continue
-			}
-			last = len(list)
-		}
-		for step := range j.spec.Steps {
-			if !j.isReady(occurrence, step) {
-				continue
-			}
-			demand := j.plan.demand
-			demand.Remaining = j.plan.criticalPath[step]
-			list = append(list, readyStep{job: j, occurrence: occurrence, step: step, demand: demand})
-		}
-	}
-	if waiting > limit {
-		for i, occurrence := last, list[last].occurrence; i < len(list) && list[i].occurrence == occurrence; i++ {
-			list[i].unlisted = int64(waiting - limit)
-		}
-	}
-	return list
-}
-
-// isReady reports whether a step has waiting tasks that may start.
-func (j *job) isReady(occurrence *workload.Occurrence, step int) bool {
-	return occurrence.Tasks[step].Waiting() > 0 && occurrence.Ready(j.spec, step)
-}
-
-// hasReadyStep reports whether a task of the job may start.
-func (j *job) hasReadyStep() bool {
-	for _, occurrence := range j.progress.Current {
-		for step := range j.spec.Steps {
-			if j.isReady(occurrence, step) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // poolView is the available capacity of a pool during one placement round.
 type poolView struct {
 	workers    []*worker
@@ -370,33 +248,6 @@
 	return view
 }
 
-// roundBuffers holds the memory of the last placement round for the next one: a round of a large fleet needs about a
-// megabyte, a hundred times a second.
-type roundBuffers struct {
-	ready   []readyStep
-	atLimit []*job               // of organisations that have reached their limit, with waiting tasks
-	views   map[string]*poolView // by pool
-	room    map[*job]int         // what further placements may add to the record of a job's progress
-	// next is the earliest time of the next round, logged when a long one was last logged.
-	next, logged time.Time
-}
-
-// view returns an empty view of a pool.
-func (b *roundBuffers) view(pool string) *poolView {
-	v := b.views[pool]
-	if v == nil {
-		if b.views == nil {
-			b.views = map[string]*poolView{}
-		}
-		v = &poolView{used: map[string]int64{}, requested: map[string]int64{}}
-		b.views[pool] = v
-	}
-	clear(v.used)
-	clear(v.requested)
-	*v = poolView{workers: v.workers[:0], candidates: v.candidates[:0], used: v.used, requested: v.requested}
-	return v
-}
-
 // usable reports whether the worker may get new work.
 func (o *Owner) usable(w *worker, now time.Time) bool {
 	return o.acceptsWork(w, now) && !o.evacuated(w)
@@ -573,39 +424,3 @@
 		}
 	}
 }
-
-// countWithinLimit returns how many waiting tasks of a step could start now within the organisation's limit.
-func (o *Owner) countWithinLimit(r *readyStep) int64 {
-	return o.withinLimit(r, r.occurrence.Tasks[r.step].Waiting())
-}
-
-// waitingWithinLimit is countWithinLimit with the occurrences that the round does not look at.
-func (o *Owner) waitingWithinLimit(r *readyStep) int64 {
-	n := o.countWithinLimit(r)
-	if r.unlisted > 0 {
-		n += r.unlisted * o.withinLimit(r, r.job.spec.Steps[r.step].Count)
-	}
-	return n
-}
-
-// withinLimit returns how many of a number of tasks of a step could start now within the organisation's limit.
-func (o *Owner) withinLimit(r *readyStep, tasks int) int64 {
-	if r.org == nil {
-		return int64(tasks)
-	}
-	usage, need := o.usage[r.job.spec.Organisation], r.job.spec.Steps[r.step].Resources
-	return int64(sort.Search(tasks, func(n int) bool { return !r.org.LimitAllows(usage.Add(need.Times(int64(n + 1)))) }))
-}
-
-// roundRoom returns roomForPlacements after the placements of this round. It walks the progress of a job once a round.
-func (o *Owner) roundRoom(j *job) int {
-	room, ok := o.rounds.room[j]
-	if !ok {
-		room = o.roomForPlacements(j)
-		if o.rounds.room == nil {
-			o.rounds.room = map[*job]int{}
-		}
-		o.rounds.room[j] = room
-	}
-	return room
-}
--- a/internal/workload/memory.go
+++ b/internal/workload/memory.go
@@ -31,27 +31,18 @@
 
 // Begun reports whether a task of the occurrence has had a run. A job may have thousands of steps, and is asked for each of them.
 func (o *Occurrence) Begun() bool {
-	if o.begun == unknown {
-		o.begun = no
+	if !o.begunKnown {
+		o.begunKnown = true
 		for i := range o.Tasks {
 			if o.Tasks[i].held != nil {
-				o.begun = yes
+				o.begun = true
 				break
 			}
 		}
 	}
-	return o.begun == yes
+	return o.begun
 }
 
-// answer is a cached answer to a question.
-type answer uint8
-
-const (
-	unknown answer = iota
-	no
-	yes
-)
-
 // BegunOccurrences returns the number of current occurrences of which a task has had a run.
 func (p *Progress) BegunOccurrences() int {
 	n := 0
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -70,7 +70,8 @@
 	// Evictions lists the placed runs that the system has decided to stop. They are recorded before the stop is requested,
 	// so that a successor does not count such a run as available while the stop may still take effect.
 	Evictions []Eviction `cbor:"3,keyasint,omitempty"`
-	begun     answer     // see Begun
+	// begun is the result of Begun once begunKnown is set.
+	begun, begunKnown bool
 }
 
 // Progress is the recorded state of a job, apart from the job itself.
@@ -210,7 +211,8 @@
 
 // changeable returns the list with a task of a current occurrence, which begins with the change.
 func (p *Progress) changeable(r TaskRef) *TaskList {
-	p.Occurrence(r.Occurrence).begun = yes
+	o := p.Occurrence(r.Occurrence)
+	o.begun, o.begunKnown = true, true
 	return p.tasks(r)
 }
 
