--- a/internal/owner/fleet_test.go
+++ b/internal/owner/fleet_test.go
@@ -528,10 +528,10 @@
 	}
 }
 
-// A successor must not use an instance that its predecessor ordered to move without an answer: the order may still be
-// carried out and would end the tasks placed meanwhile. It repeats the order.
-func TestSuccessorRepeatsUnansweredMove(t *testing.T) {
-	h := newHarness(t)
+// leaveMoveUnanswered starts an owner that orders the move of the idle instance i1 to the standby pool without an answer, and
+// stops it.
+func (h *harness) leaveMoveUnanswered() *fakeControl {
+	h.t.Helper()
 	first, c := h.startWithIdleInstance()
 	c.mu.Lock()
 	c.ignoreMoves = true
@@ -539,6 +539,14 @@
 	first.moveToStandby("i1")
 	h.await("the move was ordered", func() bool { return c.count(&c.ignoredMoves) > 0 })
 	first.stop()
+	return c
+}
+
+// A successor must not use an instance that its predecessor ordered to move without an answer: the order may still be
+// carried out and would end the tasks placed meanwhile. It repeats the order.
+func TestSuccessorRepeatsUnansweredMove(t *testing.T) {
+	h := newHarness(t)
+	c := h.leaveMoveUnanswered()
 	c.mu.Lock()
 	c.ignoreMoves = false
 	c.mu.Unlock()
--- a/internal/owner/instancelist_test.go
+++ b/internal/owner/instancelist_test.go
@@ -87,13 +87,7 @@
 		t.Run(fmt.Sprint("removed ", removed), func(t *testing.T) {
 			t.Parallel()
 			h := newHarness(t)
-			first, c := h.startWithIdleInstance()
-			c.mu.Lock()
-			c.ignoreMoves = true
-			c.mu.Unlock()
-			first.moveToStandby("i1")
-			h.await("the move was ordered", func() bool { return c.count(&c.ignoredMoves) > 0 })
-			first.stop()
+			c := h.leaveMoveUnanswered()
 			if removed {
 				c.remove("i1")
 			}
--- a/internal/owner/odd_entry_test.go
+++ b/internal/owner/odd_entry_test.go
@@ -318,13 +318,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			h := newHarness(t)
-			first, c := h.startWithIdleInstance()
-			c.mu.Lock()
-			c.ignoreMoves = true
-			c.mu.Unlock()
-			first.moveToStandby("i1")
-			h.await("the move was ordered", func() bool { return c.count(&c.ignoredMoves) > 0 })
-			first.stop()
+			c := h.leaveMoveUnanswered()
 			c.mu.Lock()
 			c.ignoreMoves, c.view = false, view
 			c.mu.Unlock()
