owner: compare a list with the answer to the last order

A list that was requested after the answer to an order shows its effect: the instance is moving or in maintenance until it is back. So that answer is what the list is compared with; the usual time is waited for as before.

TestOrdersAwaitAListOfTheLastOrder has the stricter of the two lists: one requested just before the answer.

--- a/internal/owner/fleet.go
+++ b/internal/owner/fleet.go
@@ -70,8 +70,9 @@
 	info         instances.Instance
 	listed       bool
 	orderPending bool // an order is in flight or unanswered
-	// settledAfter is the time from which the listing reflects the last order.
-	settledAfter time.Time
+	// answeredAt is when the last order was answered: a list that was requested later shows its effect. settledAfter is the
+	// time from which the usual list does.
+	answeredAt, settledAfter time.Time
 	// cordonedAt is when the instance was cordoned for the wave cordonedFor; zero if it is not cordoned.
 	cordonedAt  time.Time
 	cordonedFor *wave
@@ -211,7 +212,7 @@
 // showsLastOrder reports whether the listed state of an instance includes the effect of the last order for it. The list may be
 // older, as while the service does not answer.
 func (o *Owner) showsLastOrder(inst *instance, now time.Time) bool {
-	return now.After(inst.settledAfter) && o.fleet.list.reflects(inst.settledAfter.Add(-listInterval))
+	return now.After(inst.settledAfter) && o.fleet.list.reflects(inst.answeredAt)
 }
 
 // workersOn returns the workers on an instance: the listed one, and those that have registered since the list was requested.
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -266,7 +266,7 @@
 }
 
 func (o *Owner) handleMoveResult(inst *instance, m pool.Move, err error) {
-	inst.orderPending = false
+	inst.orderPending, inst.answeredAt = false, time.Now()
 	inst.settledAfter = time.Now().Add(o.cfg.Timing.MoveTime + listInterval)
 	switch {
 	case err == nil:
--- a/internal/owner/waves.go
+++ b/internal/owner/waves.go
@@ -256,7 +256,7 @@
 
 func (o *Owner) handleMaintenanceResult(w *wave, inst *instance, err error) {
 	id := inst.info.ID
-	inst.orderPending = false
+	inst.orderPending, inst.answeredAt = false, time.Now()
 	switch {
 	case err == nil:
 		o.metrics.maintenanceStarts.Inc(1)
